--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -34,7 +34,7 @@
 BACKOFF = 0.85  # factor on that limit when the target is missed
 MISSED = 0.3  # by more than this part of the answers: not by one slow backend or costly request
 SMOOTH = 0.1  # weight of the newest latency
-FIRST_LATENCY = 0.3  # guess before the first answer
+FIRST_LATENCY = 0.3  # guess before the first answer, where the aims are no shorter
 EJECT = 8.0  # times the pool's latency that a failed connection counts as
 SUSPECT = 2.5  # times the pool's latency that make a backend suspect
 RESEND_BUDGET = 0.1  # further attempts for overdue ones, per first attempt
@@ -131,11 +131,11 @@
         self.now, self.tick_at = 0.0, -math.inf  # when the timer that is set comes due
         self.scan_at, self.probe_at = 0.0, 0.0
         self.live: list[Backend] = []  # listed ready
-        # Mean of what backends report to hold; latencies and the loads that they met, fading sums.
-        self.load, self.took, self.met = 0.0, FIRST_LATENCY, 1.0
         self.aim = min((c.aim for c in settings.classes), default=1.0)
+        # A guess beyond the target would refuse all before a first answer could put it right.
+        self.latency = self.took = min(FIRST_LATENCY, TARGET * self.aim)
+        self.load, self.met = 0.0, 1.0  # means of the reported loads, and of those that `took` met
         self.holding: dict[tuple[int, bool], Lease] = {}  # leases with credit or slots to give back
-        self.latency = FIRST_LATENCY
         self.peers = max(1, settings.peers)
         self.pace = PACE / self.peers if settings.has_counter else 0.0
         self.steady, self.cut_at = self.pace, 0.0  # pace before the counter's trouble; its last cut
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -160,6 +160,20 @@
     assert not any(made.has_room() for _ in range(50))
 
 
+@pytest.mark.parametrize("aim", ["0.05", "0.25", "0.6"])
+def test_short_aims_are_served_from_the_first_request_on(aim: str) -> None:
+    """Nothing is known of the fleet yet: a guess must not refuse what would put it right."""
+    changes = {f"classes__{n}__goal_time_s": aim for n in range(3)}
+    made = gateway(report__how="pull", report__columns="inflight", **changes)
+    made.handle(START, i.Probed(1, i.Outcome.OK, 0.001, (0.0,)))
+    (call,) = (a for a in made.handle(START, request(1)) if isinstance(a, i.Count))
+    made.handle(START + float(aim) / 3, i.Fired(1))
+    answered = made.handle(
+        START + float(aim) / 3, i.Counted(call.name, i.Outcome.OK, call.amount, float(aim) / 3)
+    )
+    assert [s.request for s in sends(answered)] == [1]
+
+
 def test_held_credit_under_a_ceiling_lapses_with_its_window() -> None:
     counter, made = Counter(), gateway()
     made.missed, made.room = 1.0, 0.0
