Keep bytes behind an alert server's answer from the next request

A read that held more than one answer went on being parsed after the connection was free again: the surplus was served to the request that took it, or stood before the next body.

--- a/ivymux/upstream.py
+++ b/ivymux/upstream.py
@@ -81,6 +81,9 @@
         self.attempt: Attempt | None = None
         self.idle_since = 0.0
         self.unsent = False  # whether part of the request still waits in this process
+        self.result: Result | None = None  # of the answer that has come whole
+        self.keep = False  # whether another request may follow it on this connection
+        self.surplus = False  # more has come behind it
         self.parser = httptools.HttpResponseParser(self)
         self.clear()
 
@@ -121,6 +124,12 @@
         except httptools.HttpParserError as error:
             log.warning("backend %s: %s", self.pool.name, error)
             self.abort()
+        # Not from within the parser: the rest of these bytes is no answer to a request that is sent now.
+        if self.result is not None:
+            self.hand_over(self.result)
+
+    def on_message_begin(self) -> None:
+        self.surplus = self.result is not None
 
     def on_header(self, name: bytes, value: bytes) -> None:
         name = name.lower()
@@ -149,25 +158,31 @@
         if status < 200:
             self.clear()  # an interim answer; the final one follows
             return
-        if self.transport is None or self.transport.is_closing() or self.attempt is None:
+        if self.transport is None or self.transport.is_closing() or self.attempt is None or self.surplus:
             return
-        attempt, self.attempt = self.attempt, None
         if status == 200:
             outcome = Outcome.OK
         elif status in (503, 504) and self.not_started:
             outcome = Outcome.FULL
         else:
             outcome = Outcome.ERROR
-        result = Result(
+        self.keep = self.parser.should_keep_alive() and self.framed and not self.unsent
+        self.result = Result(
             outcome,
-            time.perf_counter() - attempt.began,
+            time.perf_counter() - self.attempt.began,
             self.pool.owner.report(self.load),
             self.body,
             self.content_type,
         )
-        keep = self.parser.should_keep_alive() and self.framed and not self.unsent
-        self.clear()
-        if keep:
+
+    def hand_over(self, result: Result) -> None:
+        """End the attempt: its answer is whole.  A connection that brought more is of no further use."""
+        attempt, self.attempt, self.result = self.attempt, None, None
+        assert self.transport is not None and attempt is not None
+        if self.surplus:
+            self.abort()
+        elif self.keep:
+            self.clear()
             self.pool.put(self)
         else:
             self.transport.close()
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -311,6 +311,36 @@
     run(test())
 
 
+@pytest.mark.parametrize("surplus", [http_answer(body=b"stray"), b"HTTP/1.1 200 OK\r\nContent-", b"what?"])
+def test_bytes_behind_an_answer_are_not_taken_for_the_next_requests(surplus: bytes) -> None:
+    """One read may hold more than the answer; neither a request that waits for the connection nor the next
+    one on it is served any of that.
+    """
+
+    async def test() -> None:
+        backend = Backend(lambda message: http_answer(body=message.headers["request-id"].encode()) + surplus)
+
+        def one_at_a_time(event: Any) -> list[i.Action]:
+            if isinstance(event, i.Request) and event.request == 2:
+                return []  # sent on once the first is served, so at the earliest moment
+            if isinstance(event, i.Finished) and event.request == 1:
+                return [i.Send(2, FIRST, 0.0)]
+            return send_on(event)
+
+        async with (
+            listening(backend.handle) as dial,
+            front_door(dial, react=one_at_a_time) as (door, script),
+            Client(door.server) as one,
+            Client(door.server) as two,
+        ):
+            first, second = await asyncio.gather(one.ask(Request_Id="first"), two.ask(Request_Id="second"))
+            third = await one.ask(Request_Id="third")
+            assert [a.body for a in (first, second, third)] == [b"first", b"second", b"third"]
+            assert script.outcomes() == [Outcome.OK] * 3 and backend.opened == 3
+
+    run(test())
+
+
 @pytest.mark.parametrize("unsent", [True, False])
 def test_a_request_that_was_not_written_whole_never_ran(unsent: bool) -> None:
     """The transport tells by pausing its protocol that bytes are left; 64 KiB always fit on loopback, so
