Take nothing that stands behind the last answer of a client's connection

What one read held behind such a request was still parsed, taken and answered on a connection that no longer sends: one traceback for each, 50 a second, and none of these could be served.

--- a/ivymux/server.py
+++ b/ivymux/server.py
@@ -189,6 +189,8 @@
         self.body.append(body)
 
     def on_message_complete(self) -> None:
+        if self.broken:
+            return  # one read held this behind a request that ended the connection
         self.arriving = False
         exchange = Exchange(self, self.parser.should_keep_alive())
         self.pending.append(exchange)
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -205,6 +205,20 @@
     run(test())
 
 
+def test_what_stands_behind_the_last_answer_of_a_connection_is_not_taken(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def test() -> None:
+        async with front_door("127.0.0.1:1", react=send_on) as (door, script), Client(door.server) as client:
+            door.server.most_clients = 0  # too many connections: an answer, and the end of this one
+            client.writer.write(b"".join(client.request() for _ in range(5)))
+            assert (await read_message(client.reader)).status == 503
+            assert await client.reader.read() == b"" and not script.events
+
+    run(test())
+    assert not caplog.records
+
+
 def test_a_client_that_does_not_read_its_answers_is_not_read_either() -> None:
     async def test() -> None:
         backend = Backend(lambda message: http_answer(body=b"x" * MOST_BODY))
