Follow discovery and the counter to their new addresses on SIGHUP

Nothing handled the signal, so its default action ended the program: a crash by the terms. The watch goes on after the last change heard; a counter connection moves once its calls are settled, so that answers for a name keep their order.

--- a/ivymux/__main__.py
+++ b/ivymux/__main__.py
@@ -1,4 +1,4 @@
-"""Start, wiring and SIGTERM."""
+"""Start, wiring and signals."""
 
 from __future__ import annotations
 
@@ -24,6 +24,8 @@
 LINGER = 0.6  # seconds after SIGTERM in which new connections go on coming
 OTHER_SOCKETS = SURPLUS + 40  # descriptors kept for discovery, the counter, the loop and the log
 
+log = logging.getLogger(__name__)
+
 
 class Steady(logging.Filter):
     """Bounds what is logged in a second: an error that comes with every request must not fill the log."""
@@ -71,6 +73,19 @@
             await asyncio.wait([self.host.counter.ready], timeout=COUNTER_WAIT)
         await self.server.start()
 
+    def reload(self) -> None:
+        """The platform has replaced the configuration: discovery and the counter answer elsewhere now."""
+        # The environment still names the address that this front door was started with.
+        env = {name: value for name, value in os.environ.items() if name != "NODE_DISCOVERY"}
+        try:
+            config = load(env)
+        except ConfigError as error:
+            log.warning("reload: %s", error)
+            return
+        self.discovery.move(config.discovery)
+        if self.host.counter is not None and config.counter is not None:
+            self.host.counter.move(config.counter)
+
     async def drain(self) -> None:
         """Serve on while clients still come, then finish what is held, in time for all of it."""
         began = time.monotonic()
@@ -96,6 +111,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminated.set)
     door = FrontDoor(config)
+    loop.add_signal_handler(signal.SIGHUP, door.reload)
     try:
         await door.start()
     except OSError as error:
--- a/ivymux/counter.py
+++ b/ivymux/counter.py
@@ -42,6 +42,7 @@
         self.calls: deque[Call] = deque()  # written
         self.held: deque[Call] = deque()  # to be written once the connection is up
         self.connecting = False
+        self.moving = False  # leaves its address once the calls that are out there are settled
         self.unsent = False  # whether written bytes still wait in this process
         self.heard = 0.0
         self.wait = RETRY_FIRST
@@ -53,9 +54,9 @@
         call = Call(count, now)
         if len(self.calls) + len(self.held) >= MOST_PENDING:
             self.owner.settle(call, Outcome.FULL)
-        elif self.transport is not None:
+        elif self.transport is not None and not self.moving:
             self.write(call)
-        elif self.connecting:
+        elif self.connecting or self.moving:
             self.held.append(call)
         else:  # refused a moment ago; the next attempt is due shortly
             self.owner.settle(call, Outcome.CONNECT_FAILED)
@@ -83,6 +84,7 @@
         else:
             # It keeps its place in `calls`: its late answer must not be taken for the next call's.
             self.owner.settle(call, Outcome.TIMEOUT)
+            self.leave()
 
     # --- connection --------------------------------------------------------------------------------
 
@@ -94,7 +96,7 @@
             task.add_done_callback(self.owner.tasks.discard)
 
     async def try_connect(self) -> None:
-        address = self.owner.address
+        address, self.moving = self.owner.address, False
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 await self.owner.loop.create_connection(lambda: self, address.host, address.port)
@@ -106,6 +108,16 @@
         finally:
             self.owner.tried()
 
+    def move(self) -> None:
+        """Go over to the owner's address.  New calls wait for the old ones: answers keep their order."""
+        self.moving, self.wait = True, RETRY_FIRST
+        self.leave()
+        self.connect()
+
+    def leave(self) -> None:
+        if self.moving and self.transport is not None and all(call.settled for call in self.calls):
+            self.transport.abort()
+
     def fail_held(self) -> None:
         held, self.held = self.held, deque()
         for call in held:
@@ -117,6 +129,9 @@
         self.transport, self.connecting, self.unsent = transport, False, False
         self.reader = hiredis.Reader()
         self.heard = time.monotonic()
+        if self.moving:
+            self.leave()
+            return
         held, self.held = self.held, deque()
         for call in held:
             self.write(call)
@@ -144,6 +159,7 @@
                 if not self.calls:
                     raise hiredis.ProtocolError("an answer that no call waits for")
                 self.answer(self.calls.popleft(), reply)
+                self.leave()
         except hiredis.ProtocolError as error:  # framing is lost: nothing behind it can be matched
             log.warning("counter: %s", error)
             if self.transport is not None:
@@ -211,6 +227,11 @@
             self.expiring.popleft()
         self.timer = None
 
+    def move(self, address: Address) -> None:
+        self.address = address
+        for line in self.lines:
+            line.move()
+
     def settle(self, call: Call, outcome: Outcome, total: float = 0.0) -> None:
         if not call.settled and call.count is not None:
             call.settled = True
--- a/ivymux/discovery.py
+++ b/ivymux/discovery.py
@@ -173,5 +173,11 @@
         self.seq = members.version
         self.heard(members, addresses)
 
+    def move(self, address: Address) -> None:
+        """Watch another agent from now on, after the last change that was heard."""
+        self.address = address
+        self.task.cancel()
+        self.task = self.loop.create_task(self.run())
+
     def close(self) -> None:
         self.task.cancel()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -117,8 +117,10 @@
     reply: Callable[[int, list[bytes]], bytes | None] | None = None
     totals: dict[bytes, float] = field(default_factory=dict)
     calls: list[list[bytes]] = field(default_factory=list)
+    opened: int = 0
 
     async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.opened += 1
         while True:
             parts = []
             for _ in range(int((await reader.readline())[1:])):
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -198,3 +198,41 @@
             counter.close()
 
     run(test())
+
+
+def test_a_moved_counter_is_asked_at_its_new_address_once_the_old_calls_are_settled() -> None:
+    """Else the answers for one name could come out of their order."""
+
+    async def test() -> None:
+        old, new = Tally(lambda number, call: b""), Tally()
+        async with listening(old.handle) as before, listening(new.handle) as after:
+            counter, heard = start(before)
+            counter.add(Count(8, 1.0, 4.0))
+            await until(lambda: old.calls)
+            counter.move(parse_address(after))
+            counter.add(Count(8, 2.0, 4.0))
+            counter.add(Count(9, 3.0, 4.0))  # nothing is out on this one's connection
+            await until(lambda: len(heard) == 3)
+            assert [(c.name, c.outcome) for c in heard] == [
+                (9, Outcome.OK), (8, Outcome.TIMEOUT), (8, Outcome.OK),
+            ]  # fmt: skip
+            assert len(old.calls) == 1 and len(new.calls) == 2
+            counter.close()
+
+    run(test())
+
+
+def test_a_counter_that_is_down_when_it_moves_is_reached_at_its_new_address() -> None:
+    async def test() -> None:
+        async with listening(Tally().handle) as gone:
+            pass
+        async with listening(Tally().handle) as after:
+            counter, heard = start(gone)
+            await until(lambda: all(line.wait >= 0.4 for line in counter.lines))
+            counter.move(parse_address(after))
+            counter.add(Count(8, 1.0, 4.0))
+            await until(lambda: heard)
+            assert heard[0].outcome is Outcome.OK
+            counter.close()
+
+    run(test())
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -85,6 +85,21 @@
     run(test())
 
 
+def test_a_moved_agent_is_watched_at_its_new_address_after_the_last_change() -> None:
+    async def test() -> None:
+        old, new = Agent([change(44)]), Agent([change(45)])
+        async with listening(old.handle) as before, listening(new.handle) as after:
+            watch, heard = start(before)
+            await until(lambda: heard)
+            watch.move(parse_address(after))
+            await until(lambda: len(heard) == 2)
+            assert new.targets == ["/api/targets?watch=1&from=44"]
+            assert [m.version for m, _ in heard] == [44, 45]
+            watch.close()
+
+    run(test())
+
+
 def test_a_silent_watch_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
     """A machine that vanished leaves its connections open; the watch must not hang on one for ever."""
     monkeypatch.setattr(discovery, "SILENT_AFTER", 0.1)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import signal
 import socket
 import sys
+from collections.abc import AsyncIterator
 from pathlib import Path
 
-from .sockets import Backend, config_text, host_line, http_answer, listening, read_message, run
+import pytest
+
+from .sockets import Agent, Backend, Tally, config_text, host_line, listening, read_message, run, until
 
 
 def free_port() -> int:
@@ -19,33 +23,67 @@
         return port
 
 
+@contextlib.asynccontextmanager
+async def started(path: Path, **changes: str) -> AsyncIterator[asyncio.subprocess.Process]:
+    """The program with this configuration, once it is ready."""
+    port = free_port()
+    env = dict(os.environ) | {"NODE_CONFIG": str(path), "NODE_LISTEN": f"127.0.0.1:{port}"} | changes
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "ivymux", env=env, stderr=asyncio.subprocess.PIPE
+    )
+    try:
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                break
+            except OSError:
+                await asyncio.sleep(0.01)
+        writer.write(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert (await read_message(reader)).status == 200
+        yield process
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+        writer.close()
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
 def test_it_starts_becomes_ready_and_ends_on_sigterm(tmp_path: Path) -> None:
     async def test() -> None:
-        backend = Backend(lambda message: http_answer())
-        async with listening(backend.handle) as dial:
-            path = tmp_path / "config.json"
-            path.write_text(config_text([host_line("s-00000001", dial)]))
-            port = free_port()
-            env = dict(os.environ) | {"NODE_CONFIG": str(path), "NODE_LISTEN": f"127.0.0.1:{port}"}
-            process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "ivymux", env=env, stderr=asyncio.subprocess.PIPE
-            )
-            try:
-                while True:
-                    try:
-                        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-                        break
-                    except OSError:
-                        await asyncio.sleep(0.01)
-                writer.write(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
-                assert (await read_message(reader)).status == 200
-                process.send_signal(signal.SIGTERM)
-                assert await process.wait() == 0
-                assert process.stderr is not None and await process.stderr.read() == b""
-                writer.close()
-            finally:
-                if process.returncode is None:
-                    process.kill()
-                    await process.wait()
+        path = tmp_path / "config.json"
+        async with listening(Backend().handle) as dial, listening(Agent().handle) as agent:
+            path.write_text(config_text([host_line("s-00000001", dial)], discovery=agent))
+            async with started(path) as process:
+                pass
+            assert process.stderr is not None and await process.stderr.read() == b""
+
+    run(test())
+
+
+@pytest.mark.parametrize("broken", [False, True])
+def test_sighup_moves_to_the_addresses_in_the_file_and_ends_nothing(tmp_path: Path, broken: bool) -> None:
+    async def test() -> None:
+        path = tmp_path / "config.json"
+        old, new, tally = Agent(), Agent(), Tally()
+        async with (
+            listening(Backend().handle) as dial,
+            listening(old.handle) as before,
+            listening(new.handle) as after,
+            listening(Tally().handle) as counter,
+            listening(tally.handle) as moved,
+        ):
+            known = [host_line("s-00000001", dial)]
+            path.write_text(config_text(known, counter, before))
+            async with started(path, NODE_DISCOVERY=before) as process:
+                await until(lambda: old.targets)
+                if broken:  # a file that cannot be read changes nothing
+                    path.write_text("{")
+                    process.send_signal(signal.SIGHUP)
+                    assert process.stderr is not None and b"reload" in await process.stderr.readline()
+                path.write_text(config_text(known, moved, after))
+                process.send_signal(signal.SIGHUP)
+                await until(lambda: new.targets and tally.opened)
 
     run(test())
