--- a/ivymux/server.py
+++ b/ivymux/server.py
@@ -22,14 +22,14 @@
 MOST_HELD = 32 << 20  # bytes of bodies held in all; beyond it requests are refused
 MOST_PIPELINED = 4  # requests on one connection that wait for their answers
 MOST_TIMEOUT = 600.0  # seconds that a request is held, whatever its client would wait
-READ_TIMEOUT = 10.0  # seconds for a request to come whole
+READ_TIMEOUT = 2.2  # seconds for a request to come whole, on a new connection from its start on
 IDLE_TIMEOUT = 75.0  # seconds that a connection may stand idle
-LINGER = 5.0  # seconds that a client has to read the last answer on its connection
-SURPLUS = 64  # connections above the most that are still answered, with a refusal
-SWEEP = 2.0
+LINGER = 2.0  # seconds that a client has to read the last answer on its connection
+SURPLUS = 32  # connections above the most that are still answered, with a refusal
+SWEEP = 0.25  # seconds between looks at how long connections have been silent
 
 REASONS = {
-    200: "OK", 400: "Bad Request", 404: "Not Found", 413: "Content Too Large",
+    200: "OK", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout", 413: "Content Too Large",
     502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
 }  # fmt: skip
 HOP_BY_HOP = frozenset(
@@ -116,8 +116,9 @@
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
         self.pending: deque[Exchange] = deque()
-        self.since = time.monotonic()  # idle, or a request has been coming in, since then
+        self.opened = self.since = time.monotonic()  # idle, or a request has been coming in, since then
         self.arriving = False
+        self.proven = False  # a whole request has come on it
         self.broken = False  # nothing more is read as a request
         self.clear()
 
@@ -191,7 +192,7 @@
     def on_message_complete(self) -> None:
         if self.broken:
             return  # one read held this behind a request that ended the connection
-        self.arriving = False
+        self.arriving, self.proven = False, True
         exchange = Exchange(self, self.parser.should_keep_alive())
         self.pending.append(exchange)
         if len(self.pending) > MOST_PIPELINED:
@@ -321,11 +322,14 @@
             self.server.loop.call_later(LINGER, self.transport.abort)
 
     def look(self, now: float) -> None:
-        if self.transport is None or self.pending:
+        if self.transport is None or self.pending or self.broken:
             return
-        if self.arriving and now - self.since > READ_TIMEOUT:
-            self.reject(BadRequest("the request did not come whole"))
-        elif not self.arriving and now - self.since > IDLE_TIMEOUT:
+        waited = now - (self.since if self.proven else self.opened)
+        if self.arriving and waited > READ_TIMEOUT:
+            self.reject(BadRequest("the request did not come whole", 408))
+        elif not self.proven and waited > READ_TIMEOUT:
+            self.transport.close()  # without a word: a request that crosses this is sent once more
+        elif waited > IDLE_TIMEOUT:
             self.transport.abort()  # a close would wait for a client that never reads its last answer
 
 
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -12,7 +12,7 @@
 import pytest
 
 from ivymux.__main__ import FrontDoor
-from ivymux.server import IDLE_TIMEOUT, MOST_BODY, MOST_HEAD, MOST_PIPELINED
+from ivymux.server import IDLE_TIMEOUT, MOST_BODY, MOST_HEAD, MOST_PIPELINED, READ_TIMEOUT, SWEEP
 from orchidhill import interface as i
 from orchidhill.gateway import mix
 from orchidhill.interface import Outcome
@@ -205,6 +205,39 @@
     run(test())
 
 
+@pytest.mark.parametrize(
+    "part", [b"", b"GET /class-0?customer=", b"POST /class-2 HTTP/1.1\r\nContent-Length: 9\r\n\r\n"]
+)
+def test_a_peer_that_sends_no_whole_request_is_ended_in_time(part: bytes) -> None:
+    """Within 3 s of connecting it is owed an error or a close, however late its first byte came."""
+
+    async def test() -> None:
+        async with front_door("127.0.0.1:1", react=send_on) as (door, script), Client(door.server) as client:
+            await until(lambda: door.server.clients)
+            (served,) = door.server.clients
+            client.writer.write(part)
+            await until(lambda: served.arriving or not part)
+            served.look(served.opened + READ_TIMEOUT - 0.1)
+            assert served.transport is not None and not served.transport.is_closing()
+            served.look(served.opened + READ_TIMEOUT + 0.1)
+            assert (await client.reader.read()).startswith(b"HTTP/1.1 408" if part else b"")
+            assert not script.events
+
+    assert READ_TIMEOUT + 2 * SWEEP < 3.0
+    run(test())
+
+
+def test_an_idle_connection_that_has_asked_is_kept() -> None:
+    async def test() -> None:
+        async with front_door("127.0.0.1:1", react=send_on) as (door, _), Client(door.server) as client:
+            assert (await client.ask(2)).status == 502
+            (served,) = door.server.clients
+            served.look(served.since + READ_TIMEOUT + SWEEP)
+            assert (await client.ask(2)).status == 502
+
+    run(test())
+
+
 def test_what_stands_behind_the_last_answer_of_a_connection_is_not_taken(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
