--- a/ivymux/__main__.py
+++ b/ivymux/__main__.py
@@ -22,6 +22,7 @@
 
 COUNTER_WAIT = 0.3  # seconds that the start waits for the counter's connections
 LINGER = 0.6  # seconds after SIGTERM in which new connections go on coming
+CLIENTS_PART = 0.6  # of the others: a third of all may be clients with requests, and anyone may connect
 OTHER_SOCKETS = SURPLUS + 40  # descriptors kept for discovery, the counter, the loop and the log
 
 log = logging.getLogger(__name__)
@@ -49,8 +50,11 @@
 
     def __init__(self, config: Config) -> None:
         settings = config.settings
-        most = (config.sockets - OTHER_SOCKETS) // 2
-        upstream = Upstream(settings.limits.connect_timeout, config.conn_idle, settings.report_columns, most)
+        most = config.sockets - OTHER_SOCKETS
+        most_clients = int(CLIENTS_PART * most)
+        upstream = Upstream(
+            settings.limits.connect_timeout, config.conn_idle, settings.report_columns, most - most_clients
+        )
         host = self.host = Host(Gateway(settings, config.seed), upstream)
         if settings.has_counter and config.counter is not None:
             host.counter = Counter(config.counter, settings.counter_timeout, host.post)
@@ -64,7 +68,7 @@
             seq = members.version
             host.members(members, addresses)
         self.discovery = Discovery(config.discovery, names, seq, host.members)
-        self.server = Server(config, host, most)
+        self.server = Server(config, host, most_clients)
         # SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more after SIGTERM.
         self.drain_time = min(3.0, max((c.deadline for c in settings.classes), default=3.0)) + 0.4
 
--- a/ivymux/server.py
+++ b/ivymux/server.py
@@ -358,10 +358,10 @@
         self.clients.add(client)
         if len(self.clients) <= self.most_clients:
             return
-        # Descriptors are bounded: the connection that has been idle longest gives way.  With none idle the
-        # new one is answered with a refusal, as ending it at once could lose a request.
+        # Descriptors are bounded: a connection that never asked gives way, else the one that has been idle
+        # longest.  With none idle the new one is answered with a refusal, as ending it could lose a request.
         idle = [c for c in self.clients if not c.pending and not c.arriving and c is not client]
-        victim = min(idle, key=lambda c: c.since, default=None)
+        victim = min(idle, key=lambda c: (c.proven, c.since), default=None)
         if victim is None and len(self.clients) > self.most_clients + SURPLUS:
             victim = client
         if victim is not None and victim.transport is not None:
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import socket
 import time
 from collections.abc import AsyncIterator, Callable
@@ -11,7 +12,7 @@
 
 import pytest
 
-from ivymux.__main__ import FrontDoor
+from ivymux.__main__ import OTHER_SOCKETS, FrontDoor
 from ivymux.server import IDLE_TIMEOUT, MOST_BODY, MOST_HEAD, MOST_PIPELINED, READ_TIMEOUT, SWEEP
 from orchidhill import interface as i
 from orchidhill.gateway import mix
@@ -677,6 +678,36 @@
     run(test())
 
 
+@pytest.mark.parametrize("sockets", [256, 384, 1024])
+def test_clients_may_hold_a_third_of_the_descriptors(sockets: int) -> None:
+    async def test() -> None:
+        door = FrontDoor(
+            dataclasses.replace(config([host_line("s-00000001", "127.0.0.1:1")]), sockets=sockets)
+        )
+        most = door.server.most_clients
+        assert most >= sockets / 3 and most + door.host.upstream.most_open + OTHER_SOCKETS <= sockets
+        await door.close()
+
+    run(test())
+
+
+def test_a_connection_that_never_asked_gives_way_first() -> None:
+    async def test() -> None:
+        async with front_door("127.0.0.1:1", react=send_on) as (door, _):
+            door.server.most_clients = 2
+            async with Client(door.server) as asked, Client(door.server) as silent:
+                assert (await asked.ask(2)).status == 502
+                await until(lambda: len(door.server.clients) == 2)
+                for served in door.server.clients:
+                    served.since -= 1.0 if served.proven else 0.0
+                async with Client(door.server) as third:
+                    assert (await third.ask(2)).status == 502
+                    assert await silent.reader.read() == b""
+                    assert (await asked.ask(2)).status == 502
+
+    run(test())
+
+
 def test_descriptors_are_bounded_and_surplus_clients_are_refused() -> None:
     async def test() -> None:
         async with front_door("127.0.0.1:1", react=lambda event: []) as (door, script):
