--- a/ivymux/counter.py
+++ b/ivymux/counter.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import logging
+import math
+import re
 import time
 from collections import deque
 from collections.abc import Callable
@@ -20,10 +22,20 @@
 DEAD_AFTER = 2.0  # seconds with calls out and no byte back: the machine behind it has vanished
 RETRY_FIRST, RETRY_MOST = 0.05, 1.0  # seconds between attempts to connect
 CONNECT_TIMEOUT = 1.0
+MOST_ANSWER = 256  # bytes of an answer that has not come whole
+DECIMAL = re.compile(rb"[+-]?(\d+(\.\d*)?|\.\d+)([eE][+-]?\d{1,2})?")
 
 log = logging.getLogger(__name__)
 
 
+def total(reply: object) -> float:
+    """The total in an answer: a decimal number."""
+    text = reply if isinstance(reply, bytes) else str(reply).encode()
+    if DECIMAL.fullmatch(text.strip()) is None or math.isinf(number := float(text)):
+        raise hiredis.ProtocolError(f"not a total: {reply!r:.40}")
+    return number
+
+
 class Call:
     __slots__ = ("began", "count", "settled")
 
@@ -45,6 +57,7 @@
         self.moving = False  # leaves its address once the calls that are out there are settled
         self.unsent = False  # whether written bytes still wait in this process
         self.heard = 0.0
+        self.partial = 0  # bytes heard since the last answer was whole
         self.wait = RETRY_FIRST
         self.reader: Any = None
 
@@ -54,9 +67,9 @@
         call = Call(count, now)
         if len(self.calls) + len(self.held) >= MOST_PENDING:
             self.owner.settle(call, Outcome.FULL)
-        elif self.transport is not None and not self.moving:
+        elif self.transport is not None and not self.moving and not self.transport.is_closing():
             self.write(call)
-        elif self.connecting or self.moving:
+        elif self.connecting or self.transport is not None:
             self.held.append(call)
         else:  # refused a moment ago; the next attempt is due shortly
             self.owner.settle(call, Outcome.CONNECT_FAILED)
@@ -127,7 +140,7 @@
         transport = cast(asyncio.Transport, transport)  # uvloop's are not its subclasses
         transport.set_write_buffer_limits(high=0)
         self.transport, self.connecting, self.unsent = transport, False, False
-        self.reader = hiredis.Reader()
+        self.reader, self.partial = hiredis.Reader(), 0
         self.heard = time.monotonic()
         if self.moving:
             self.leave()
@@ -153,33 +166,29 @@
 
     def data_received(self, data: bytes) -> None:
         self.heard, self.wait = time.monotonic(), RETRY_FIRST
+        self.partial += len(data)
         try:
             self.reader.feed(data)
             while (reply := self.reader.gets()) is not False:
+                self.partial = 0
                 if not self.calls:
                     raise hiredis.ProtocolError("an answer that no call waits for")
-                self.answer(self.calls.popleft(), reply)
+                self.answer(self.calls[0], reply)
+                self.calls.popleft()
                 self.leave()
-        except hiredis.ProtocolError as error:  # framing is lost: nothing behind it can be matched
+            if self.partial > MOST_ANSWER:
+                raise hiredis.ProtocolError("an answer without an end")
+        # Framing is lost, or the amount was added and no total came: nothing more is to be had here.
+        except (hiredis.ProtocolError, TypeError) as error:  # the latter of maps that are none in Python
             log.warning("counter: %s", error)
             if self.transport is not None:
                 self.transport.abort()
 
     def answer(self, call: Call, reply: Any) -> None:
-        if call.settled:
-            return
-        if isinstance(reply, hiredis.ReplyError):
-            if not str(reply).startswith("BUSY"):
-                log.warning("counter: %s", reply)
+        if isinstance(reply, hiredis.ReplyError) and str(reply).startswith(("BUSY", "ERR")):
             self.owner.settle(call, Outcome.FULL)  # nothing was added
-            return
-        try:
-            total = float(reply)
-        except (TypeError, ValueError):
-            log.warning("counter: not a total: %.40r", reply)
-            self.owner.settle(call, Outcome.TIMEOUT)  # it may have been added
-            return
-        self.owner.settle(call, Outcome.OK, total)
+        elif call.count is not None:
+            self.owner.settle(call, Outcome.OK, total(reply))
 
     def look(self, now: float) -> None:
         if self.transport is None:
