--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -1,7 +1,6 @@
 """Every decision of the gateway.  Types, events and actions: orchidhill/interface.py.
 
-Reading order: tuned values; state; Gateway: admission by lease (GALE), trouble at the counter, backends,
-attempts and final answers, the tick.
+Reading order: tuned values; state; Gateway: admission by lease (GALE), counter, backends, attempts, tick.
 """
 
 from __future__ import annotations
@@ -140,8 +139,7 @@
         self.pace = PACE / self.peers if settings.has_counter else 0.0
         self.steady, self.cut_at = self.pace, 0.0  # pace before the counter's trouble; its last cut
         self.calls_left, self.calls_at = 1 + self.random.random(), 0.0
-        # Share of the counter calls that fail, smoothed; attempts out at live backends.
-        self.failing, self.out = 0.0, 0
+        self.failing, self.out = 0.0, 0  # smoothed share of failed counter calls; attempts out, live backends
         self.room = FIRST_LIMIT / self.peers  # attempts out at a mean backend, mine
         self.missed, self.lowered = 0.0, 0.0  # answers later than their target; last cut of `room`
         self.warm_sends, self.warm_at, self.resends = 0.0, 0.0, 1.0
@@ -276,7 +274,7 @@
         if not pending:
             del self.calls[event.name]
         good = event.outcome is Outcome.OK
-        self.judge_counter(good and event.spent < self.settings.counter_timeout / 2, good)
+        self.judge_counter(event, good)
         self.roll(lease)
         current = window == lease.window
         if good and current:
@@ -344,12 +342,15 @@
 
     # --- trouble at the counter ------------------------------------------------------------------
 
-    def judge_counter(self, quick: bool, good: bool) -> None:
-        """Calls are paced by their answers: up slowly, down when one fails or is slow, whatever the cause;
-        after a silence doubling back to half.  Chance failures leave more to the local shares for a while.
+    def judge_counter(self, event: i.Counted, good: bool) -> None:
+        """Calls are paced by their answers: up slowly, down when one fails or is slow; after a silence
+        doubling back to half.  One that broke off early failed without the counter being busy.
         """
         self.failing += SMOOTH * ((not good) - self.failing)
-        if quick:
+        quick = event.spent < self.settings.counter_timeout / 2
+        if quick and event.outcome is Outcome.TIMEOUT:
+            return
+        if quick and good:
             if self.pace < self.steady / 2:
                 self.pace *= 2
             elif self.budget() < 1.0:
@@ -373,8 +374,7 @@
         return self.budget() > 1 + self.pace * TICK * 2
 
     def calm(self, lease: Lease, units: float) -> bool:
-        """While calls are short, who is within its local share leaves them to others; it is added with
-        the next lease.  May hurt a customer that is busy at its other gateways."""
+        """While calls are short, who is within its local share is added with the next lease."""
         return not self.spare() and self.fits(lease, units)
 
     def share(self, lease: Lease) -> float:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -412,6 +412,17 @@
     assert made.pace > 2 * low
 
 
+def test_calls_that_break_off_early_leave_the_pace() -> None:
+    """An answer that cannot be read ends its connection; the counter is none the busier for it."""
+    made = gateway()
+    for rid in range(200):
+        for call in made.handle(START + rid / 50, request(rid, customer=rid)):
+            if isinstance(call, i.Count):
+                outcome = i.Outcome.TIMEOUT if rid % 4 == 0 else i.Outcome.OK
+                made.handle(START + rid / 50, i.Counted(call.name, outcome, call.amount, 0.001))
+    assert made.pace >= gateway().pace
+
+
 # --- same events, same actions ---
 
 SCRIPT = """
