--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -509,8 +509,8 @@
 
     def has_room(self) -> bool:
         """What hangs on silent backends must not take the room of those that answer."""
-        if self.random.random() > 2 - self.strain():
-            return False  # each gateway sheds its part by chance: what it sends alone says nothing
+        if self.out * self.peers >= len(self.live) and self.random.random() > 2 - self.strain():
+            return False  # each sheds its part by chance; with little out the strain is old news
         mean = self.room * len(self.live)
         most = mean + SPREAD * math.sqrt(mean)
         slow = self.now - SUSPECT * self.latency
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -154,12 +154,22 @@
 
 def test_reported_load_sheds_by_chance_before_latencies_tell() -> None:
     made = gateway(caps__may_probe="true", report__how="pull", report__columns="inflight")
+    made.out = 2  # a third of the backends' number, by one of three gateways
     assert all(made.has_room() for _ in range(50))
     for _ in range(30):
         made.handle(START, i.Probed(1, i.Outcome.OK, 0.01, (40.0,)))
     assert not any(made.has_room() for _ in range(50))
 
 
+def test_a_strain_that_no_answer_confirms_does_not_shed_all() -> None:
+    """Its latencies are as old as the last answer: with nothing out, none would ever put them right."""
+    counter, made = Counter(), gateway(report__how="pull", report__columns="inflight")
+    made.took = 3.0  # of a jam that is over
+    made.handle(START, i.Probed(1, i.Outcome.OK, 0.01, (0.0,)))
+    assert made.strain() > 2
+    assert all(serve_all(made, counter, START + rid / 5, rid, customer=rid) for rid in range(20))
+
+
 @pytest.mark.parametrize("aim", ["0.05", "0.25", "0.6"])
 def test_short_aims_are_served_from_the_first_request_on(aim: str) -> None:
     """Nothing is known of the fleet yet: a guess must not refuse what would put it right."""
