--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -456,6 +456,15 @@
     assert made.pace >= gateway().pace
 
 
+def test_a_pace_that_leaves_calls_out_comes_up_again() -> None:
+    """Those within their local share spare the calls: the pace never binds and is too low all the same."""
+    counter, made = Counter(), gateway()
+    made.pace = made.steady = 20.0
+    for rid in range(1500):
+        serve_all(made, counter, START + rid / 150, rid, customer=rid)
+    assert made.pace > 60
+
+
 # --- same events, same actions ---
 
 SCRIPT = """
