--- a/ivymux/counter.py
+++ b/ivymux/counter.py
@@ -20,6 +20,7 @@
 MOST_PENDING = 1000  # calls on one connection that wait for their answers
 PING_AFTER = 2.0  # seconds without a call after which a PING keeps the connection from standing idle
 DEAD_AFTER = 2.0  # seconds with calls out and no byte back: the machine behind it has vanished
+SILENT_AFTER = 4.0  # the same in time-outs, once calls run into theirs: the counter's line is shorter
 RETRY_FIRST, RETRY_MOST = 0.05, 1.0  # seconds between attempts to connect
 CONNECT_TIMEOUT = 1.0
 MOST_ANSWER = 256  # bytes of an answer that has not come whole
@@ -96,6 +97,9 @@
             self.owner.settle(call, Outcome.CONNECT_FAILED)
         else:
             # It keeps its place in `calls`: its late answer must not be taken for the next call's.
+            silent = time.monotonic() - self.heard > SILENT_AFTER * self.owner.timeout
+            if silent and self.transport is not None:
+                self.transport.abort()
             self.owner.settle(call, Outcome.TIMEOUT)
             self.leave()
 
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from ivymux import counter as counter_module
 from ivymux.config import parse_address
 from ivymux.counter import DEAD_AFTER, LINES, MOST_PENDING, Counter
 from orchidhill.interface import Count, Counted, Outcome
@@ -207,6 +208,35 @@
     run(test())
 
 
+def test_a_connection_that_went_silent_is_given_up_after_a_few_time_outs(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The other connections answer: a counter this late would have turned the calls away."""
+    monkeypatch.setattr(counter_module, "DEAD_AFTER", 1e9)
+
+    async def test() -> None:
+        tally = Tally()
+        silent: list[int] = []
+
+        async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            tally.opened += 1
+            if tally.opened > LINES:
+                await tally.handle(reader, writer)
+            silent.append(1)
+            await asyncio.sleep(30)
+
+        async with listening(handle) as dial:
+            counter, heard = start(dial, timeout=0.02)
+            await until(lambda: len(silent) == LINES)
+            while not heard or heard[-1].outcome is not Outcome.OK:
+                counter.add(Count(8, 1.0, 4.0))
+                await asyncio.sleep(0.02)
+            assert heard[0].outcome is Outcome.TIMEOUT and tally.opened > LINES
+            counter.close()
+
+    run(test())
+
+
 def test_an_idle_connection_is_kept_by_a_ping() -> None:
     async def test() -> None:
         tally = Tally()
