Forget backends that are gone, and hear of those that must stop from partial entries

An entry that lacked a field was skipped, a drain or an end with it, and a version or a depth out of range raised.

--- a/ivymux/discovery.py
+++ b/ivymux/discovery.py
@@ -8,18 +8,20 @@
 import logging
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from hashlib import blake2b
 from typing import Any, cast
 
 import httptools
 
-from ivymux.config import Address, ConfigError, parse_address, plain
+from ivymux.config import Address, parse_address, plain
 from orchidhill.interface import Entry, Listing, Members, State
 
 MOST_LINE = 4 << 20  # bytes of one line; a longer one ends the watch
 SILENT_AFTER = 7.0  # seconds: an empty line comes every 2 s while the agent is well
 RETRY_FIRST, RETRY_MOST = 0.1, 1.0  # seconds between attempts to watch
 CONNECT_TIMEOUT = 1.0
+MALFORMED = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)  # of JSON in any form
 STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
 
 log = logging.getLogger(__name__)
@@ -40,40 +42,54 @@
     def __init__(self, zones: tuple[str, ...], kinds: tuple[str, ...]) -> None:
         self.zones = {name: number for number, name in enumerate(zones)}
         self.kinds = {name: number for number, name in enumerate(kinds)}
+        self.entries: dict[int, Entry] = {}  # as last heard, for changes that leave out the rest
         self.hosts: dict[int, str] = {}  # two names with one id would be taken for one backend
 
-    def entry(self, raw: Any) -> tuple[Entry, Address]:
-        state = STATES[raw["health"]]
-        name = str(raw["host"])
+    def entry(self, raw: Any, known: dict[int, Entry]) -> tuple[Entry, Address | None]:
+        """One backend.  One that drains or is gone must stop, whatever else its entry lacks."""
+        name, state = str(raw["host"]), STATES[raw["health"]]
         number = backend_id(name)
         if self.hosts.setdefault(number, name) != name:
             raise ValueError(f"{name} has the id of {self.hosts[number]}")
-        return Entry(
-            backend=number,
-            zone=self.zones[plain(raw["site"])],
-            started=float(raw["born_ms"]) / 1000,
-            state=state,
-            kind=self.kinds[plain(raw["class"])],
-            cell=int(raw["block"]),
-            weight=float(raw["share"]),
-        ), parse_address(raw["dial"])
+        address = None
+        try:
+            entry = Entry(
+                backend=number,
+                zone=self.zones[plain(raw["site"])],
+                started=float(raw.get("born_ms") or 0) / 1000,
+                state=state,
+                kind=self.kinds.get(plain(raw.get("class")), 0),
+                cell=int(raw["block"]),
+                weight=float(raw.get("share") or 1),
+            )
+            address = parse_address(raw["dial"])
+        except MALFORMED:
+            if state is State.READY or number not in known:
+                raise
+            entry = replace(known[number], state=state)
+        self.entries[number] = entry
+        if state is State.GONE:
+            del self.hosts[number], self.entries[number]
+        return entry, address
 
     def members(self, raw: Any, cached: bool = False) -> tuple[Members, dict[int, Address]]:
         """One line as a list or a change; entries that make no sense are logged and left out."""
         if not isinstance(raw, dict) or not isinstance(raw.get("hosts"), list):
             raise ValueError("not a list of hosts")
         listing = Listing.CACHED if cached else Listing.FULL if raw.get("whole") else Listing.DELTA
+        known = self.entries
         if listing is not Listing.DELTA:
-            self.hosts = {}
+            self.hosts, self.entries = {}, {}
         entries, addresses = [], {}
         for item in raw["hosts"]:
             try:
-                entry, address = self.entry(item)
-            except (ConfigError, KeyError, TypeError, ValueError) as error:
+                entry, address = self.entry(item, known)
+            except MALFORMED as error:
                 log.warning("discovery: entry skipped: %s: %s", type(error).__name__, error)
                 continue
             entries.append(entry)
-            addresses[entry.backend] = address
+            if address is not None:
+                addresses[entry.backend] = address
         return Members(listing, int(raw["seq"]), tuple(entries)), addresses
 
 
@@ -165,7 +181,7 @@
     def take(self, line: bytes) -> None:
         try:
             members, addresses = self.names.members(json.loads(line))
-        except (KeyError, TypeError, ValueError) as error:
+        except (*MALFORMED, RecursionError) as error:
             log.warning("discovery: line skipped: %s: %s", type(error).__name__, error)
             return
         if members.listing is Listing.DELTA and members.version <= self.seq:
--- a/ivymux/host.py
+++ b/ivymux/host.py
@@ -154,7 +154,7 @@
         for entry in members.entries:
             if entry.state is State.GONE:
                 self.upstream.remove(entry.backend)
-            else:
+            elif entry.backend in addresses:
                 self.upstream.place(entry.backend, addresses[entry.backend], entry.started)
         self.post(members)
 
--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -436,6 +436,7 @@
                 found.latency, found.answered = self.latency, self.now
                 found.cold_level, found.cold_at = self.random.random(), self.now  # not all at once
             found.entry, found.state = entry, entry.state
+        self.backends = {n: b for n, b in self.backends.items() if b.out or b.state is not State.GONE}
         self.live = [b for b in self.backends.values() if b.state is State.READY]
         self.out = sum(len(b.out) for b in self.live)
         self.pump()
@@ -671,8 +672,7 @@
             self.actions.append(i.SetTimer(due, 1))
 
     def tick(self) -> None:
-        # Whatever holds a request (a lease, the queue), it ends before its client's time does, and
-        # before it is started if it cannot finish in its aim.
+        # Whatever is held ends before its client's time does, and unstarted if it cannot make its aim.
         for job in [j for j in self.jobs.values() if not j.out]:
             hopeless = not job.attempts and self.now + self.latency > job.arrived + job.cls.aim
             if hopeless or self.now > job.end - MARGIN - TICK:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -70,6 +70,36 @@
     assert "skipped" in caplog.text
 
 
+@pytest.mark.parametrize(("health", "state"), [("Gone", State.GONE), ("Terminating", State.DRAINING)])
+def test_a_backend_that_must_stop_is_heard_of_whatever_else_is_missing(health: str, state: State) -> None:
+    names = Names(("a",), ("m2",))
+    ready = {"host": "s-00000007", "dial": "127.0.0.1:81", "site": "a", "block": 3, "health": "Ready"}
+    members, addresses = names.members({"seq": 1, "whole": True, "hosts": [ready]})
+    assert [(e.backend, e.started, e.cell) for e in members.entries] == [(7, 0.0, 3)] and set(addresses) == {
+        7
+    }
+    change = {"host": "s-00000007", "health": health}
+    members, addresses = names.members({"seq": 2, "whole": False, "hosts": [change]})
+    # Its rack stays known: repeats of keyed requests that it may have run must stay there.
+    assert [(e.backend, e.state, e.cell) for e in members.entries] == [(7, state, 3)] and not addresses
+    assert (7 in names.hosts) == (state is not State.GONE)
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [b'{"seq":1e999,"hosts":[]}', b"[" * 100_000, b'{"seq":1,"hosts":[7]}'],
+    ids=["huge", "deep", "no entry"],
+)
+def test_odd_lines_raise_nothing(odd: bytes) -> None:
+    async def test() -> None:
+        watch, heard = start("127.0.0.1:1")
+        watch.take(odd)
+        assert not [m for m, _ in heard if m.entries]
+        watch.close()
+
+    run(test())
+
+
 def test_an_ended_watch_is_taken_up_after_the_last_change() -> None:
     async def test() -> None:
         agent = Agent([change(44), b"<end>"])
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -363,6 +363,19 @@
     assert {hold(made, rid).backend for rid in range(4)} == {2}
 
 
+def test_backends_that_are_gone_are_forgotten_once_nothing_is_out() -> None:
+    """A release replaces each machine: their records must not pile up for as long as the process runs."""
+    counter, made = Counter(), gateway((entry(1),))
+    (sent,) = sends(play(made, counter, START, request(1)))
+    for n in range(2, 50):
+        gone = entry(n - 1, state=i.State.GONE)
+        made.handle(START + n, i.Members(i.Listing.DELTA, n, (entry(n), gone)))
+        assert len(made.backends) <= 2
+    made.handle(START + 50, done(1, sent, i.Outcome.OK, closed=True))
+    made.handle(START + 51, i.Members(i.Listing.DELTA, 51, ()))
+    assert set(made.backends) == {49}
+
+
 def test_a_cold_backend_gets_its_share_of_the_budget_only() -> None:
     made = gateway([entry(1), entry(2), entry(3, started=START)], tariffs__0__quota_rate="0")
     cold, out = 0, deque[tuple[int, i.Send]]()
