--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -245,7 +245,7 @@
     def learn(self, lease: Lease) -> None:
         """One AdaGrad step on ln b of orderCost*D/b + strandPenalty*b/2 (optimum sqrt(2*o*D/s))."""
         price = max(self.settings.counter_price, 1e-3)
-        strand = max(STRAND_FLOOR * price, min(1.0, lease.total / lease.base) ** 2)  # dear in a full window
+        strand = max(STRAND_FLOOR * price, min(1.0, lease.total / lease.base) ** 8)  # dear in a full window
         batch = math.exp(lease.size)
         gradient = (strand * batch / 2 - price * lease.served / batch) / price
         lease.slope += gradient * gradient
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -233,6 +233,21 @@
     assert abs(lease.size - optimum) < min(before, 0.1)
 
 
+def test_a_window_with_room_left_is_leased_in_batches_of_several_units() -> None:
+    """A stranded unit is dear once others are denied for it, not while much of the window is free."""
+    made = gateway(tariffs__0__peak_units="80.0")
+    made.handle(START, request(1))
+    lease = only_lease(made)
+    for _ in range(200):
+        lease.served, lease.total = 16.0, 0.6 * lease.base
+        made.learn(lease)
+    assert math.exp(lease.size) > 2
+    for _ in range(200):
+        lease.served, lease.total = 16.0, lease.base
+        made.learn(lease)
+    assert math.exp(lease.size) < 1.5
+
+
 def test_idle_records_age_out() -> None:
     counter, made = Counter(), gateway()
     serve_all(made, counter, START, 1)
