--- a/ivymux/upstream.py
+++ b/ivymux/upstream.py
@@ -88,7 +88,8 @@
         self.clear()
 
     def clear(self) -> None:
-        self.head = 0
+        self.head = 0  # bytes read since the last answer
+        self.headed = False  # whether the head has come whole
         self.body = b""
         self.not_started = False
         self.framed = False  # whether the answer's end can be told from its connection's end
@@ -124,6 +125,8 @@
         except httptools.HttpParserError as error:
             log.warning("backend %s: %s", self.pool.name, error)
             self.abort()
+        if not self.headed and self.head > MOST_HEAD:
+            self.abort()  # a head without an end would hold its attempt to the deadline
         # Not from within the parser: the rest of these bytes is no answer to a request that is sent now.
         if self.result is not None:
             self.hand_over(self.result)
@@ -143,8 +146,7 @@
             self.framed = True
 
     def on_headers_complete(self) -> None:
-        if self.head > MOST_HEAD + MOST_BODY:
-            self.abort()
+        self.headed = True
 
     def on_body(self, body: bytes) -> None:
         self.body = self.body + body if self.body else body
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -342,6 +342,7 @@
         (b"", Outcome.RESET),  # closed after the whole request was written
         (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nhalf", Outcome.RESET),
         (b"what?\r\n\r\n", Outcome.RESET),  # framing is lost, and it may have run
+        (b"HTTP/1.1 200 OK\r\n" + b"X-Pad: pppppppp\r\n" * 2000, Outcome.RESET),  # a head without an end
     ]
 
     async def test() -> None:
