--- a/ivymux/server.py
+++ b/ivymux/server.py
@@ -118,6 +118,7 @@
         self.pending: deque[Exchange] = deque()
         self.opened = self.since = time.monotonic()  # idle, or a request has been coming in, since then
         self.arriving = False
+        self.surplus = False  # one too many when it came: answered with a refusal
         self.proven = False  # a whole request has come on it
         self.broken = False  # nothing more is read as a request
         self.clear()
@@ -219,7 +220,7 @@
         if path == b"/-/ready":
             exchange.reply(Answer(200 if server.ready() else 503))
             return
-        if len(server.clients) > server.most_clients:
+        if exchange.client.surplus:
             exchange.keep_alive = False
             exchange.reply(Answer(503, retry_after=1.0))
             return
@@ -358,14 +359,19 @@
         self.clients.add(client)
         if len(self.clients) <= self.most_clients:
             return
-        # Descriptors are bounded: a connection that never asked gives way, else the one that has been idle
-        # longest.  With none idle the new one is answered with a refusal, as ending it could lose a request.
+        # Descriptors are bounded: a connection that has ended or never asked gives way, else the one that has
+        # been idle longest.  With none idle the new one is refused, as ending it could lose a request.
         idle = [c for c in self.clients if not c.pending and not c.arriving and c is not client]
-        victim = min(idle, key=lambda c: (c.proven, c.since), default=None)
+        victim = min(idle, key=lambda c: (not c.broken, c.proven, c.since), default=None)
+        client.surplus = victim is None
         if victim is None and len(self.clients) > self.most_clients + SURPLUS:
             victim = client
         if victim is not None and victim.transport is not None:
-            victim.transport.close()
+            self.clients.discard(victim)  # now: it must not be chosen again before it is closed
+            if victim.transport.get_write_buffer_size():
+                victim.transport.abort()  # a close would wait for a client that does not read
+            else:
+                victim.transport.close()
 
     def sweep(self) -> None:
         now = time.monotonic()
