--- a/ivymux/server.py
+++ b/ivymux/server.py
@@ -119,7 +119,7 @@
         self.opened = self.since = time.monotonic()  # idle, or a request has been coming in, since then
         self.arriving = False
         self.surplus = False  # one too many when it came: answered with a refusal
-        self.proven = False  # a proper request has come on it
+        self.proven = False  # a whole request has come on it
         self.broken = False  # nothing more is read as a request
         self.clear()
 
@@ -193,7 +193,7 @@
     def on_message_complete(self) -> None:
         if self.broken:
             return  # one read held this behind a request that ended the connection
-        self.arriving = False
+        self.arriving, self.proven = False, True
         exchange = Exchange(self, self.parser.should_keep_alive())
         self.pending.append(exchange)
         if len(self.pending) > MOST_PIPELINED:
@@ -273,7 +273,6 @@
                 request, number, plan, customer, left, units, spread, first, is_retry, method == b"POST"
             )
 
-        exchange.client.proven = True
         exchange.request = server.host.request(make, end, payload, exchange.reply)
 
     def no_repeats(self) -> None:
