Send each cold server that a door has not used a first request

Left is the choice: start_cold gave a new server the fleet's loaded latency and expected() divided it by its warmth, so that five times 1.4 s was guessed, and a door with 3.5 answers a second over 60 servers never tried it to learn better.

--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -139,7 +139,7 @@
         self.live: list[Backend] = []  # listed ready, and not taken out by hand
         self.banned: set[int] = set()  # taken out by hand, whether listed or not
         self.returned: dict[int, float] = {}  # called back at these times, and cold from then on
-        self.unused: set[int] = set()  # of these, those that were sent nothing yet
+        self.unused: set[int] = set()  # cold ones, called back or started, that I have sent nothing yet
         self.aim = self.shortest_aim()
         # A guess beyond the target would refuse all before a first answer could put it right.
         self.latency = self.took = min(FIRST_LATENCY, TARGET * self.aim)
@@ -465,15 +465,19 @@
             found = self.backends.get(entry.backend)
             if found is None:
                 found = self.backends[entry.backend] = Backend(entry, answered=self.now)
-            if entry.started > found.entry.started or not found.cold_at:
-                self.start_cold(found)
+            starts = entry.started > found.entry.started or not found.cold_at
             found.entry, found.state = entry, entry.state
+            if starts:
+                self.start_cold(found)
         self.backends = {n: b for n, b in self.backends.items() if b.out or b.state is not State.GONE}
+        self.unused &= self.backends.keys()
         self.relist()
 
     def start_cold(self, backend: Backend) -> None:
         backend.latency, backend.answered, backend.erring = self.latency, self.now, 0.0
         backend.cold_level, backend.cold_at = self.random.random(), self.now  # not all at once
+        if self.warmth(backend) < 1:
+            self.unused.add(backend.entry.backend)
 
     def relist(self) -> None:
         self.live = [b for b in self.backends.values() if self.serves(b)]
@@ -630,7 +634,7 @@
                 ahead *= EJECT
             score = expected * ahead * (1 + self.random.random() / 20)
             if backend.entry.backend in self.unused:
-                return backend  # called back: it gets its first request as soon as its cold budget allows
+                return backend  # idle, whatever others are: a first request as soon as its budget allows
             if score < best_score:
                 best, best_score = backend, score
         return best
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -725,6 +725,24 @@
     assert sent_to_cold(i.Outcome.OK) > 5 * sent_to_cold(i.Outcome.ERROR) > 0
 
 
+def test_many_doors_that_see_few_requests_wake_a_replaced_server_all_the_same() -> None:
+    """Each of 40 doors has but a request a second, and none knows that the new server is the idle one."""
+    doors = [gateway([entry(n) for n in range(1, 7)], n, peers_total="40") for n in range(40)]
+    counter, got = Counter(), 0
+    for rid in range(1, 401):
+        now = START + rid / 40
+        for number, door in enumerate(doors):
+            if rid == 1:
+                listed = i.Members(i.Listing.DELTA, 2, (entry(7, started=now),))
+                play(door, counter, now, listed)
+            if rid % 40 == number:
+                actions = play(door, counter, now, request(rid, customer=rid))
+                got += sum(send.backend == 7 for send in sends(actions))
+                for send in sends(actions):
+                    play(door, counter, now + 0.02, done(rid, send, i.Outcome.OK, closed=True))
+    assert got > 10, got
+
+
 def test_a_server_that_answers_errors_on_end_does_not_draw_more() -> None:
     """It answers at once and holds nothing, so the more the others have out the better it would look."""
     made, counter = gateway([entry(1), entry(2)], tariffs__0__quota_rate="0"), Counter()
