Let refused doors back off from discovery together, and count no slow refusal as well

Ruled out: the connection to the agent (it was accepted each time) and a skipped line (none was logged); the four doors that kept their watch heard each change.

Responsible: Discovery.run took every watch of over 2 s for one that was well, so the refusal that comes after 2.0 s set the bound back to 0.1 s, and 40 doors asked 65 times a second what discovery answers 3 to 7 times a second, each too late. A watch is well now if it was answered with lists, and the bound after a refusal grows with the doors that share discovery.

--- a/ivymux/__main__.py
+++ b/ivymux/__main__.py
@@ -72,7 +72,7 @@
                 raise ConfigError(f"known: {type(error).__name__}: {error}") from None
             seq = members.version
             host.members(members, addresses)
-        self.discovery = Discovery(config.discovery, names, seq, host.members)
+        self.discovery = Discovery(config.discovery, names, seq, host.members, settings.peers)
         self.server = Server(config, host, self.most_clients)
         self.inherits = config.passed is not None
         self.handover = Handover(config.shared, host.post, self.share_sockets)
@@ -118,6 +118,7 @@
         host.upstream.retune(settings.limits.connect_timeout, config.conn_idle, settings.report_columns)
         self.server.retune(settings)
         host.retune(settings)
+        self.discovery.peers = settings.peers
         if config.discovery != before.discovery:
             self.discovery.move(config.discovery)
         if host.counter is not None and config.counter is not None:
--- a/ivymux/discovery.py
+++ b/ivymux/discovery.py
@@ -22,6 +22,10 @@
 MOST_SEEN = 4096  # names remembered, the longest unheard first to go
 SILENT_AFTER = 4.5  # seconds: an empty line comes every 2 s; after 6 s all counts as told, heard or not
 RETRY_FIRST, RETRY_MOST = 0.1, 1.0  # bounds of the seconds between attempts to watch
+LASTED = 2.0  # seconds after which a watch that was answered with lists counts as well
+RETRIERS = (
+    2  # front doors that may each retry so often when discovery refuses; more of them share these calls
+)
 LEAST_WAIT = 0.01  # seconds: a refusal comes at once, and trying again at once would be a loop
 CONNECT_TIMEOUT = 1.0
 MALFORMED = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)  # of JSON in any form
@@ -118,6 +122,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.rest = b""
         self.lost: asyncio.Future[None] = owner.loop.create_future()
+        self.status = 0  # of the answer, once it has one
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport = cast(asyncio.Transport, transport)  # uvloop's are not its subclasses
@@ -133,8 +138,9 @@
             self.end(str(error))
 
     def on_headers_complete(self) -> None:
-        if self.parser.get_status_code() != 200:
-            self.end(f"answered {self.parser.get_status_code()}")
+        self.status = self.parser.get_status_code()
+        if self.status != 200:
+            self.end(f"answered {self.status}")
 
     def on_body(self, body: bytes) -> None:
         *lines, self.rest = (self.rest + body).split(b"\n")
@@ -162,8 +168,9 @@
 class Discovery:
     """Keeps a watch open and tells of every list and change."""
 
-    def __init__(self, address: Address, names: Names, seq: int, heard: Heard) -> None:
+    def __init__(self, address: Address, names: Names, seq: int, heard: Heard, peers: int = 1) -> None:
         self.address, self.names, self.seq, self.heard = address, names, seq, heard
+        self.peers = peers  # front doors that ask the same discovery
         self.loop = asyncio.get_running_loop()
         self.heard_at = 0.0
         self.task = self.loop.create_task(self.run())
@@ -171,14 +178,18 @@
     async def run(self) -> None:
         bound = RETRY_FIRST
         while True:
-            began = time.monotonic()
+            began, status = time.monotonic(), 0
             with contextlib.suppress(OSError, TimeoutError):
-                await self.watch()
-            # One that lasted was well: come back soon; one that did not must not be hammered.
-            bound = RETRY_FIRST if time.monotonic() - began > 2 * RETRY_MOST else min(RETRY_MOST, 2 * bound)
-            await asyncio.sleep(jittered(bound))
-
-    async def watch(self) -> None:
+                status = await self.watch()
+            # One that lasted was well: come back soon.  A refusal is none, however long it was in coming: it
+            # says that the calls of all front doors are too many, so each takes its part of fewer.
+            well = status == 200 and time.monotonic() - began > LASTED
+            bound = RETRY_FIRST if well else min(RETRY_MOST, 2 * bound)
+            sharers = max(1.0, self.peers / RETRIERS) if status not in (0, 200) else 1.0
+            await asyncio.sleep(jittered(bound * sharers))
+
+    async def watch(self) -> int:
+        """Watch until that ends.  The status of the answer; 0 without one."""
         async with asyncio.timeout(CONNECT_TIMEOUT):
             _, watch = await self.loop.create_connection(
                 lambda: Watch(self), self.address.host, self.address.port
@@ -186,10 +197,9 @@
         self.heard_at = time.monotonic()
         try:
             # A vanished peer says nothing, not even that it is gone: silence ends the watch too.
-            while (left := self.heard_at + SILENT_AFTER - time.monotonic()) > 0:
+            while not watch.lost.done() and (left := self.heard_at + SILENT_AFTER - time.monotonic()) > 0:
                 await asyncio.wait([watch.lost], timeout=left)
-                if watch.lost.done():
-                    return
+            return watch.status
         finally:
             if watch.transport is not None:
                 watch.transport.abort()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -21,10 +21,10 @@
     return json.dumps({"seq": seq, "whole": whole, "hosts": hosts}).encode()
 
 
-def start(dial: str, seq: int = 41) -> tuple[Discovery, Heard]:
+def start(dial: str, seq: int = 41, peers: int = 1) -> tuple[Discovery, Heard]:
     heard: Heard = []
     names = Names(("a", "b"), ("m1", "m2"))
-    return Discovery(parse_address(dial), names, seq, lambda *told: heard.append(told)), heard
+    return Discovery(parse_address(dial), names, seq, lambda *told: heard.append(told), peers), heard
 
 
 def test_names_map_to_the_same_ids_everywhere() -> None:
@@ -147,6 +147,35 @@
     run(test())
 
 
+@pytest.mark.parametrize(("peers", "last"), [(1, 1.0), (2, 1.0), (40, 20.0)])
+def test_doors_that_are_refused_back_off_together(
+    peers: int, last: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An overbooked discovery refuses only after a while; that is no watch that was well for as long."""
+    monkeypatch.setattr(discovery, "LASTED", 0.0)
+    bounds: list[float] = []
+
+    def jittered(bound: float) -> float:
+        bounds.append(bound)
+        return 0.0
+
+    monkeypatch.setattr(discovery, "jittered", jittered)
+
+    async def refuse(reader: Any, writer: Any) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+        await reader.read()
+
+    async def test() -> None:
+        async with listening(refuse) as dial:
+            watch, _ = start(dial, peers=peers)
+            await until(lambda: len(bounds) > 5)
+            watch.close()
+
+    run(test())
+    assert bounds[:6] == sorted(bounds[:6]) and bounds[4:6] == [last, last]
+
+
 def test_a_line_without_end_ends_the_watch(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(discovery, "MOST_LINE", 1000)
 
