Learn of a server from few answers, and remember errors until more requests have gone by

Ruled out: the choice itself (12 candidates of 60 are enough to leave out two in ten) and probes (no deep probe tells of errors).

Responsible: the fixed weights in observe(), the fixed span in expected(), and the division by warmth of what a cold server had already shown.

--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -45,6 +45,8 @@
 FRESH = 1.5  # for which a report counts; older ones say no more than the fleet's mean
 UNASKED = 0.8  # strain from which only what the counter granted is let in
 RATE_SPAN = 5.0  # memory of the observed load
+SAMPLES = 2.0  # requests to a mean backend for which a gateway remembers at least that one errs
+PRIOR = 2.0  # answers that the fleet's latency counts for, beside a backend's own
 MARGIN = 0.03  # time kept before a deadline or a memory span runs out
 EPS = 1e-4  # totals come back to seven digits
 
@@ -94,6 +96,7 @@
     latency: float = FIRST_LATENCY
     answered: float = 0.0  # when it last answered
     seen: float = 0.0  # when anything was last learned of it
+    known: float = 0.0  # answers of late: how much its own figures say
     load: float = 0.0  # waiting requests and busy share, as last reported
     load_at: float = -math.inf
     erring: float = 0.0  # smoothed share of errors among its answers
@@ -474,7 +477,9 @@
         self.relist()
 
     def start_cold(self, backend: Backend) -> None:
-        backend.latency, backend.answered, backend.erring = self.latency, self.now, 0.0
+        backend.latency = self.latency / max(EPS, self.warmth(backend))
+        backend.seen, backend.known = self.now, 0.0
+        backend.answered, backend.erring = self.now, 0.0
         backend.cold_level, backend.cold_at = self.random.random(), self.now  # not all at once
         if self.warmth(backend) < 1:
             self.unused.add(backend.entry.backend)
@@ -570,12 +575,22 @@
         backend.cold_level, backend.cold_at = level, self.now
         return level >= 1.0
 
+    def span(self) -> float:
+        """How long errors of a backend count: until it would have been sent a few more requests."""
+        rate = self.sent / self.could if self.could else math.inf
+        return min(FORGET, max(RATE_SPAN, SAMPLES / max(rate, EPS)))
+
+    def faded(self, backend: Backend) -> float:
+        """What was learned of its latency, as a bad figure fades."""
+        fade = math.exp((backend.seen - self.now) / RATE_SPAN)
+        return min(backend.latency, self.latency + max(0.0, backend.latency - self.latency) * fade)
+
     def expected(self, backend: Backend) -> float:
-        """A silent backend is at least as slow as it has been silent; a bad figure fades."""
+        """A silent backend is at least as slow as it has been silent; one that errs is no use, however fast."""
         oldest = next(iter(backend.out.values()), self.now)
-        fade = math.exp((backend.seen - self.now) / RATE_SPAN)
-        latency = min(backend.latency, self.latency + max(0.0, backend.latency - self.latency) * fade)
-        return max(latency, self.now - max(oldest, backend.answered)) / self.warmth(backend)
+        latency = max(EPS, self.faded(backend), self.now - max(oldest, backend.answered))
+        errs = backend.erring and backend.erring * math.exp((backend.seen - self.now) / self.span()) > 0.5
+        return max(latency, EJECT * self.latency) if errs else latency
 
     def note(self, backend: Backend, report: tuple[float, ...]) -> None:
         """Keep a load report.  One that is missing where others come means busy, not idle."""
@@ -721,7 +736,10 @@
         """Additive increase, multiplicative decrease of what may be out at a mean backend: one for all."""
         if outcome in (Outcome.CANCELLED, Outcome.MOOT):
             return
-        took, backend.seen = self.now - sent, self.now
+        took = self.now - sent
+        backend.latency = self.faded(backend)
+        backend.known = backend.known * math.exp((backend.seen - self.now) / RATE_SPAN) + 1
+        backend.seen = self.now
         if report:
             self.note(backend, report)
         good, job = outcome is Outcome.OK, self.jobs.get(request)
@@ -733,10 +751,13 @@
             self.met += SMOOTH * (self.burden(backend) - self.met)
             backend.answered = self.now
             self.latency += SMOOTH / 4 * (took - self.latency)
-        backend.latency += SMOOTH * ((took if good else max(took, 2 * self.latency)) - backend.latency)
-        backend.erring += NEWEST * ((outcome is Outcome.ERROR) - backend.erring)
+        # A gateway that hears from it but now and then goes by the little it hears; of a cold one the fleet's
+        # latency, which was its first guess, says less.
+        weight = max(SMOOTH, 1 / (backend.known + PRIOR * self.warmth(backend)))
+        backend.latency += weight * ((took if good else max(took, 2 * self.latency)) - backend.latency)
+        backend.erring += max(NEWEST, 1 / backend.known) * ((outcome is Outcome.ERROR) - backend.erring)
         if backend.erring > 0.5:
-            # Two errors on end or more: it answers fast and serves nobody, so it would draw ever more.
+            # All it answered lately, or two on end: it is fast and serves nobody, so it would draw ever more.
             backend.latency = max(backend.latency, EJECT * self.latency)
         if outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
             # It is down, whatever the list says: out of the way at once, tried again as this fades.
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -743,6 +743,36 @@
     assert got > 10, got
 
 
+def seldom_heard(outcome: i.Outcome, took: float) -> tuple[Gateway, i.Send]:
+    """A door of 40 with a request a second for 20 servers, and the first attempt, which ended so."""
+    made = gateway([entry(n) for n in range(1, 21)], tariffs__0__quota_rate="0", peers_total="40")
+    (first,) = sends(made.handle(START, request(1)))
+    made.handle(START + took, done(1, first, outcome, closed=True))
+    for rid in range(2, 10):
+        for send in sends(made.handle(START + rid, request(rid, customer=rid))):
+            made.handle(START + rid + 0.1, done(rid, send, i.Outcome.OK, closed=True))
+    return made, first
+
+
+def test_a_door_with_few_requests_remembers_a_server_that_errs() -> None:
+    """The fleet's 40 doors would else send it as much as any other: each forgets it before it asks again."""
+    made, first = seldom_heard(i.Outcome.ERROR, 0.1)
+    assert made.expected(made.backends[first.backend]) > 4 * made.latency
+    made.handle(START + 40, request(99))
+    assert made.expected(made.backends[first.backend]) < 2 * made.latency  # and is tried again
+
+
+def test_the_only_answer_of_a_server_counts_for_more_than_one_of_many() -> None:
+    made, first = seldom_heard(i.Outcome.OK, 1.0)
+    slow = made.backends[first.backend]
+    assert slow.latency > 1.5 * made.latency
+
+
+def test_a_jam_is_not_remembered_for_as_long_as_errors_are() -> None:
+    made, first = seldom_heard(i.Outcome.OK, 1.0)
+    assert made.expected(made.backends[first.backend]) < 1.5 * made.latency
+
+
 def test_a_server_that_answers_errors_on_end_does_not_draw_more() -> None:
     """It answers at once and holds nothing, so the more the others have out the better it would look."""
     made, counter = gateway([entry(1), entry(2)], tariffs__0__quota_rate="0"), Counter()
