--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -586,7 +586,7 @@
         return min(backend.latency, self.latency + max(0.0, backend.latency - self.latency) * fade)
 
     def expected(self, backend: Backend) -> float:
-        """A silent backend is at least as slow as it has been silent; one that errs is no use, however fast."""
+        """A silent backend is at least as slow as it has been silent; one that errs is of no use."""
         oldest = next(iter(backend.out.values()), self.now)
         latency = max(EPS, self.faded(backend), self.now - max(oldest, backend.answered))
         errs = backend.erring and backend.erring * math.exp((backend.seen - self.now) / self.span()) > 0.5
