--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -21,7 +21,7 @@
 STRAND_FLOOR = 0.5  # least strand penalty, in counter calls: nothing is stranded for free
 IDLE_SHARE = 0.25  # credit idle for this part of its window goes back
 FORGET = 30.0  # idle records, and what the counter said of a customer, are dropped after this
-PACE = 800.0  # counter calls a second to begin with, by all gateways
+PACE = 400.0  # counter calls to begin with in the time of the shortest aim, by all gateways
 PACE_LEAST = 60.0  # while it answers nothing: enough to see it come back
 PACE_UP = 1.01  # factor on the pace for each quick answer while calls are left out for it
 PACE_CUT = 0.88  # and for each call that fails or takes half its time-out
@@ -150,7 +150,7 @@
         self.holding: dict[tuple[int, bool], Lease] = {}  # leases with credit or slots to give back
         self.processes = 1  # that serve as this gateway's front door
         self.peers = max(1, settings.peers)
-        self.pace = PACE / self.peers if settings.has_counter else 0.0
+        self.pace = self.first_pace()
         self.steady, self.cut_at = self.pace, 0.0  # pace before the counter's trouble; its last cut
         self.calls_left, self.calls_at = 1 + self.random.random(), 0.0
         self.failing, self.out = 0.0, 0  # smoothed share of failed counter calls; attempts out, live backends
@@ -381,6 +381,11 @@
 
     # --- trouble at the counter ------------------------------------------------------------------
 
+    def first_pace(self) -> float:
+        """A guess, as the counter's room is told nowhere: what serves short aims is built for more calls.  One too
+        high costs much when all gateways start at once: the counter works on calls that nobody waits for."""
+        return PACE / self.aim / self.peers if self.settings.has_counter else 0.0
+
     def judge_counter(self, event: i.Counted, good: bool) -> None:
         """Calls are paced by their answers: up slowly, down when one fails or is slow; after a silence
         doubling back to half.  One that broke off early failed without the counter being busy."""
@@ -433,8 +438,8 @@
         return level
 
     def fits(self, lease: Lease, units: float) -> bool:
-        """Within the local share; while the fleet is strained and the counter well, only it grants."""
-        strained = self.failing < 0.5 and self.strain() > UNASKED
+        """Within the local share; while the fleet is strained and the counter can be asked, only it grants."""
+        strained = self.failing < 0.5 and self.may_call() and self.strain() > UNASKED
         return not strained and self.refill(lease) + EPS >= units
 
     def admit_alone(self, lease: Lease, job: Job, units: float) -> None:
@@ -500,8 +505,8 @@
         """Jobs keep the class that they came with, by value, and all that was learned stays."""
         self.settings = settings
         self.aim = self.shortest_aim()
-        if settings.has_counter and not self.pace:
-            self.pace = self.steady = PACE / self.peers
+        if not self.pace:
+            self.pace = self.steady = self.first_pace()
         self.share_out()
 
     def share_out(self) -> None:
