--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -101,6 +101,8 @@
     load_at: float = -math.inf
     erring: float = 0.0  # smoothed share of errors among its answers
     silent: dict[str, float] = field(default_factory=dict)  # classes it left unanswered, and when
+    draw: float = 0.0  # decides on a fraction of an attempt, until it is drawn again
+    drawn_at: float = -math.inf
     cold_level: float = 0.0  # token bucket for sends while it is cold
     cold_at: float = 0.0
 
@@ -438,8 +440,8 @@
         return level
 
     def fits(self, lease: Lease, units: float) -> bool:
-        """Within the local share; while the fleet is strained and the counter can be asked, only it grants."""
-        strained = self.failing < 0.5 and self.may_call() and self.strain() > UNASKED
+        """Within the local share; while the fleet is strained and the counter well, only it grants."""
+        strained = self.failing < 0.5 and self.strain() > UNASKED
         return not strained and self.refill(lease) + EPS >= units
 
     def admit_alone(self, lease: Lease, job: Job, units: float) -> None:
@@ -643,8 +645,7 @@
             fits = self.random.sample(fits, CANDIDATES) + unused
         for backend in fits:
             expected = self.expected(backend)
-            most = max(1.0, 2 * self.room * min(1.0, 1.5 * self.latency / expected))
-            if len(backend.out) >= most or backend.entry.backend in job.tried[-2:]:
+            if backend.entry.backend in job.tried[-2:] or not self.may_hold(backend, expected):
                 continue
             warmth = self.warmth(backend)
             if warmth < 1 and not self.cold_room(backend, warmth):
@@ -659,6 +660,13 @@
                 best, best_score = backend, score
         return best
 
+    def may_hold(self, backend: Backend, expected: float) -> bool:
+        """Whether one more may be out there.  My part of what it may hold is a fraction where gateways are many;
+        were it rounded up, all of them would hold one there at once.  A draw that lasts for a while decides."""
+        if self.now - backend.drawn_at > 2 * self.latency:
+            backend.draw, backend.drawn_at = self.random.random(), self.now
+        return len(backend.out) + backend.draw < 2 * self.room * min(1.0, 1.5 * self.latency / expected)
+
     # --- attempts and final answers --------------------------------------------------------------
 
     def dispatch(self, job: Job) -> None:
