--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -23,7 +23,7 @@
 FORGET = 30.0  # idle records, and what the counter said of a customer, are dropped after this
 PACE = 400.0  # counter calls to begin with in the time of the shortest aim, by all gateways
 PACE_LEAST = 60.0  # while it answers nothing: enough to see it come back
-PACE_UP = 1.01  # factor on the pace for each quick answer while calls are left out for it
+PACE_UP = 0.1  # at most added to the pace for each quick answer while calls are left out for it
 PACE_CUT = 0.88  # and for each call that fails or takes half its time-out
 NEWEST = 0.3  # weight of the newest grant or denial, the newest report, a reported against an own attempt
 TARGET = 0.5  # latency aimed at, as a share of the class's aim
@@ -401,7 +401,8 @@
             if self.pace < self.steady / 2:
                 self.pace *= 2
             elif not self.spare():  # from here on calls are left out
-                self.pace *= PACE_UP
+                # An answer far sooner than half of the time-out tells of a counter that has room for more.
+                self.pace *= 1 + PACE_UP * (1 - 2 * event.spent / self.settings.counter_timeout) ** 4
                 self.steady = max(self.steady, self.pace)
         elif self.now - self.cut_at > 2 * self.settings.counter_timeout:
             away = self.failing > 0.5
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -791,6 +791,20 @@
     assert door.may_hold(door.backends[1], door.latency)
 
 
+def test_calls_begin_by_the_aims_and_grow_while_answers_are_quick() -> None:
+    slow, fast = (gateway(**{f"classes__{n}__goal_time_s": aim for n in range(3)}) for aim in ("4.0", "1.0"))
+    assert fast.pace == pytest.approx(4 * slow.pace)
+    paces = []
+    for spent in (0.001, 0.02):  # of a time-out of 0.05
+        made = gateway(peers_total="40")
+        before = made.pace
+        for _ in range(20):
+            made.calls_left, made.calls_at = 0.0, made.now
+            made.judge_counter(i.Counted(1, i.Outcome.OK, 1.0, spent), good=True)
+        paces.append(made.pace / before)
+    assert paces[0] > 3 and 1 < paces[1] < 1.2
+
+
 def test_a_server_that_answers_errors_on_end_does_not_draw_more() -> None:
     """It answers at once and holds nothing, so the more the others have out the better it would look."""
     made, counter = gateway([entry(1), entry(2)], tariffs__0__quota_rate="0"), Counter()
