Leave servers that failed all they were lately sent out of what the fleet can hold

A server whose only late answer was a refused connection was tried again after 5 s by each door (36 times a server). Responsible: capacity() counts what is listed, and observe() kept errors but not failed connections for a few requests long. What FULL answers tell is left as it was: in a small fleet they mean a full queue.

--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -566,10 +566,10 @@
         return rules.cold_share + (1 - rules.cold_share) * max(0.0, age) / rules.warm_up
 
     def capacity(self) -> float:
-        """The live backends, a cold one for what it surely can do by now."""
+        """The live backends, a cold one for what it surely can do by now, and one that fails for nothing."""
         if self.now >= self.capacity_at:
             self.capacity_at = self.now + WATCH_TICKS * TICK
-            self.capacity_now = sum(map(self.warmth, self.live))
+            self.capacity_now = max(1.0, sum(self.warmth(b) for b in self.live if not self.useless(b)))
         return self.capacity_now
 
     def cold_room(self, backend: Backend, warmth: float) -> bool:
@@ -599,8 +599,12 @@
         """A silent backend is at least as slow as it has been silent; one that errs is of no use."""
         oldest = next(iter(backend.out.values()), self.now)
         latency = max(EPS, self.faded(backend), self.now - max(oldest, backend.answered))
-        errs = backend.erring and backend.erring * math.exp((backend.seen - self.now) / self.span()) > 0.5
-        return max(latency, EJECT * self.latency) if errs else latency
+        return max(latency, EJECT * self.latency) if self.useless(backend) else latency
+
+    def useless(self, backend: Backend) -> bool:
+        """Whether it failed all or most of what it was sent lately."""
+        share = backend.erring
+        return share > 0.5 and share * math.exp((backend.seen - self.now) / self.span()) > 0.5
 
     def note(self, backend: Backend, report: tuple[float, ...]) -> None:
         """Keep a load report.  One that is missing where others come means busy, not idle."""
@@ -774,7 +778,8 @@
         # latency, which was its first guess, says less.
         weight = max(SMOOTH, 1 / (backend.known + PRIOR * self.warmth(backend)))
         backend.latency += weight * ((took if good else max(took, 2 * self.latency)) - backend.latency)
-        backend.erring += max(NEWEST, 1 / backend.known) * ((outcome is Outcome.ERROR) - backend.erring)
+        failed = outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED)
+        backend.erring += max(NEWEST, 1 / backend.known) * (failed - backend.erring)
         if backend.erring > 0.5:
             # All it answered lately, or two on end: it is fast and serves nobody, so it would draw ever more.
             backend.latency = max(backend.latency, EJECT * self.latency)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -791,6 +791,18 @@
     assert door.may_hold(door.backends[1], door.latency)
 
 
+def test_a_server_that_cannot_be_reached_is_no_capacity() -> None:
+    """A list from before a release names servers that are gone; room for them would jam the others."""
+    made = gateway(tariffs__0__quota_rate="0", peers_total="40")
+    listed = made.capacity()
+    (send,) = sends(made.handle(START, request(1)))
+    made.handle(START + 0.25, done(1, send, i.Outcome.CONNECT_FAILED))
+    made.now = START + 8
+    assert made.capacity() == listed - 1
+    made.now = START + 60
+    assert made.capacity() == listed  # and is tried again
+
+
 def test_calls_begin_by_the_aims_and_grow_while_answers_are_quick() -> None:
     slow, fast = (gateway(**{f"classes__{n}__goal_time_s": aim for n in range(3)}) for aim in ("4.0", "1.0"))
     assert fast.pace == pytest.approx(4 * slow.pace)
