Spread the first watch of doors that start together over what discovery can serve

Ruled out: the doors' own connections (each was taken at once) and lost lines. Responsible: Discovery.run called at once on start, and came back within 0.1 s after a watch that had been well, at however many doors. The first call and each retry now spread over 0.1 s a door, up to 0.5 s a door; a door without a list, or whose agent has moved, asks at once as before.

--- a/ivymux/discovery.py
+++ b/ivymux/discovery.py
@@ -21,7 +21,7 @@
 MOST_LINE = 4 << 20  # bytes of one line; a longer one ends the watch
 MOST_SEEN = 4096  # names remembered, the longest unheard first to go
 SILENT_AFTER = 4.5  # seconds: an empty line comes every 2 s; after 6 s all counts as told, heard or not
-RETRY_FIRST, RETRY_MOST = 0.1, 1.0  # bounds of the seconds between attempts to watch
+RETRY_FIRST, RETRY_MOST = 0.1, 0.5  # bounds of the seconds between attempts to watch, for each sharer
 LASTED = 2.0  # seconds after which a watch that was answered with lists counts as well
 RETRIERS = (
     2  # front doors that may each retry so often when discovery refuses; more of them share these calls
@@ -175,18 +175,22 @@
         self.heard_at = 0.0
         self.task = self.loop.create_task(self.run())
 
-    async def run(self) -> None:
+    async def run(self, moved: bool = False) -> None:
+        """Watch for good.  Each call may be the whole list, and discovery serves those of all front doors in
+        turn: doors that start, or lose their watch, do so together, and spread their calls.
+        """
         bound = RETRY_FIRST
+        if self.names.entries and not moved:  # there is a list to serve from meanwhile
+            await asyncio.sleep(jittered(bound * self.peers))
         while True:
             began, status = time.monotonic(), 0
             with contextlib.suppress(OSError, TimeoutError):
                 status = await self.watch()
-            # One that lasted was well: come back soon.  A refusal is none, however long it was in coming: it
-            # says that the calls of all front doors are too many, so each takes its part of fewer.
+            # A refusal is no watch that was well, however long it was in coming: the calls are too many.
             well = status == 200 and time.monotonic() - began > LASTED
             bound = RETRY_FIRST if well else min(RETRY_MOST, 2 * bound)
-            sharers = max(1.0, self.peers / RETRIERS) if status not in (0, 200) else 1.0
-            await asyncio.sleep(jittered(bound * sharers))
+            # An agent that cannot be reached is this machine's own, and its calls cost nobody anything.
+            await asyncio.sleep(jittered(bound * (self.peers if status else 1)))
 
     async def watch(self) -> int:
         """Watch until that ends.  The status of the answer; 0 without one."""
@@ -219,7 +223,7 @@
         """Watch another agent from now on, after the last change that was heard."""
         self.address = address
         self.task.cancel()
-        self.task = self.loop.create_task(self.run())
+        self.task = self.loop.create_task(self.run(moved=True))
 
     def close(self) -> None:
         self.task.cancel()
