Spread calls to discovery only where it must be asked, and never near the time it allows

Where `membership_mode` is `push` each door calls at once again; where it is `ask`, a wait stays under half of `ask_within_s`, or under twice that after a refusal, which counts for four times.

--- a/ivymux/__main__.py
+++ b/ivymux/__main__.py
@@ -21,6 +21,7 @@
 from ivymux.server import SURPLUS, Server
 from ivymux.upstream import Upstream
 from orchidhill.gateway import Gateway
+from orchidhill.interface import Settings
 
 COUNTER_WAIT = 0.3  # seconds that the start waits for the counter's connections
 LINGER = 0.6  # seconds after SIGTERM in which new connections go on coming
@@ -72,7 +73,7 @@
                 raise ConfigError(f"known: {type(error).__name__}: {error}") from None
             seq = members.version
             host.members(members, addresses)
-        self.discovery = Discovery(config.discovery, names, seq, host.members, settings.peers)
+        self.discovery = Discovery(config.discovery, names, seq, host.members, *self.asking(settings))
         self.server = Server(config, host, self.most_clients)
         self.inherits = config.passed is not None
         self.handover = Handover(config.shared, host.post, self.share_sockets)
@@ -86,6 +87,11 @@
         """SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more after SIGTERM."""
         return min(3.0, max((c.deadline for c in config.settings.classes), default=3.0)) + 0.4
 
+    @staticmethod
+    def asking(settings: Settings) -> tuple[int, float]:
+        """How many front doors ask one discovery, and how soon each has to; one where it tells unasked."""
+        return (1 if settings.membership_push else settings.peers), settings.rules.ask_within
+
     def ready(self) -> bool:
         """Whether this process can serve: it listens, has a list, and the counter was tried."""
         counter = self.host.counter
@@ -118,7 +124,7 @@
         host.upstream.retune(settings.limits.connect_timeout, config.conn_idle, settings.report_columns)
         self.server.retune(settings)
         host.retune(settings)
-        self.discovery.peers = settings.peers
+        self.discovery.share(*self.asking(settings))
         if config.discovery != before.discovery:
             self.discovery.move(config.discovery)
         if host.counter is not None and config.counter is not None:
--- a/ivymux/discovery.py
+++ b/ivymux/discovery.py
@@ -168,20 +168,28 @@
 class Discovery:
     """Keeps a watch open and tells of every list and change."""
 
-    def __init__(self, address: Address, names: Names, seq: int, heard: Heard, peers: int = 1) -> None:
+    def __init__(
+        self, address: Address, names: Names, seq: int, heard: Heard, askers: int = 1, ask_within: float = 0.0
+    ) -> None:
         self.address, self.names, self.seq, self.heard = address, names, seq, heard
-        self.peers = peers  # front doors that ask the same discovery
+        self.share(askers, ask_within)
         self.loop = asyncio.get_running_loop()
         self.heard_at = 0.0
         self.task = self.loop.create_task(self.run())
 
+    def share(self, askers: int, ask_within: float) -> None:
+        """So many front doors ask one discovery.  One that has not for `ask_within` seconds, or four times as
+        long after a refusal, counts as told all the same: no wait may come near that.
+        """
+        self.askers, self.ask_within = askers, ask_within
+
     async def run(self, moved: bool = False) -> None:
         """Watch for good.  Each call may be the whole list, and discovery serves those of all front doors in
         turn: doors that start, or lose their watch, do so together, and spread their calls.
         """
         bound = RETRY_FIRST
-        if self.names.entries and not moved:  # there is a list to serve from meanwhile
-            await asyncio.sleep(jittered(bound * self.peers))
+        if self.names.entries and not moved and self.askers > 1:  # there is a list to serve from meanwhile
+            await asyncio.sleep(jittered(min(bound * self.askers, self.ask_within / 2)))
         while True:
             began, status = time.monotonic(), 0
             with contextlib.suppress(OSError, TimeoutError):
@@ -190,7 +198,10 @@
             well = status == 200 and time.monotonic() - began > LASTED
             bound = RETRY_FIRST if well else min(RETRY_MOST, 2 * bound)
             # An agent that cannot be reached is this machine's own, and its calls cost nobody anything.
-            await asyncio.sleep(jittered(bound * (self.peers if status else 1)))
+            shared = (
+                min(bound * self.askers, self.ask_within * (0.5 if status == 200 else 2)) if status else 0
+            )
+            await asyncio.sleep(jittered(max(bound, shared)))
 
     async def watch(self) -> int:
         """Watch until that ends.  The status of the answer; 0 without one."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -21,10 +21,10 @@
     return json.dumps({"seq": seq, "whole": whole, "hosts": hosts}).encode()
 
 
-def start(dial: str, seq: int = 41, peers: int = 1) -> tuple[Discovery, Heard]:
+def start(dial: str, seq: int = 41, askers: int = 1) -> tuple[Discovery, Heard]:
     heard: Heard = []
     names = Names(("a", "b"), ("m1", "m2"))
-    return Discovery(parse_address(dial), names, seq, lambda *told: heard.append(told), peers), heard
+    return Discovery(parse_address(dial), names, seq, lambda *told: heard.append(told), askers, 10.0), heard
 
 
 def test_names_map_to_the_same_ids_everywhere() -> None:
@@ -147,9 +147,9 @@
     run(test())
 
 
-@pytest.mark.parametrize(("peers", "last"), [(1, 0.5), (2, 1.0), (40, 20.0)])
+@pytest.mark.parametrize(("askers", "last"), [(1, 0.5), (2, 1.0), (40, 20.0), (400, 20.0)])
 def test_doors_that_are_refused_back_off_together(
-    peers: int, last: float, monkeypatch: pytest.MonkeyPatch
+    askers: int, last: float, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """An overbooked discovery refuses only after a while; that is no watch that was well for as long."""
     monkeypatch.setattr(discovery, "LASTED", 0.0)
@@ -168,7 +168,7 @@
 
     async def test() -> None:
         async with listening(refuse) as dial:
-            watch, _ = start(dial, peers=peers)
+            watch, _ = start(dial, askers=askers)
             await until(lambda: len(bounds) > 5)
             watch.close()
 
@@ -190,15 +190,25 @@
         agent = Agent([change(42, host_line("s-00000007", "127.0.0.1:81"), whole=True)])
         async with listening(agent.handle) as dial:
             names = Names(("a", "b"), ("m1", "m2"))
-            without = Discovery(parse_address(dial), names, 41, lambda *_: None, peers=40)
+            without = Discovery(parse_address(dial), names, 41, lambda *_: None, 40, 10.0)
             await until(lambda: names.entries)
             assert not waits
-            with_list = Discovery(parse_address(dial), names, 42, lambda *_: None, peers=40)
+            with_list = Discovery(parse_address(dial), names, 42, lambda *_: None, 40, 10.0)
             await until(lambda: len(agent.targets) == 2)
             assert waits == [4.0]
             with_list.move(parse_address(dial))
             await until(lambda: len(agent.targets) == 3)
             assert waits == [4.0]
+            for askers, wait in (
+                (400, [5.0]),
+                (1, []),
+            ):  # in time for the drain rule; at once where it is told
+                waits.clear()
+                agent.targets.clear()
+                other = Discovery(parse_address(dial), names, 42, lambda *_: None, askers, 10.0)
+                await until(lambda: agent.targets)
+                assert waits == wait
+                other.close()
             without.close()
             with_list.close()
 
