Check a configuration for every problem at once, by one function, and as a command

Need: a broken file named its first problem only, and nothing but a start or SIGHUP could tell. Numbers that break the arithmetic (1e300, infinity behind 1e999, NaN in conn_idle_s), keys that stand twice and a classes object with count=1e12 were taken; limits.sockets=1e999 ended the program with a traceback.

Change: the settings' reader notes problems and goes on; config.check collects them with those of the rest, in bounded size.

--- a/ivymux/__main__.py
+++ b/ivymux/__main__.py
@@ -9,10 +9,11 @@
 import signal
 import sys
 import time
+from collections.abc import Sequence
 
 import uvloop
 
-from ivymux.config import Config, ConfigError, load, reload
+from ivymux.config import Checked, Config, ConfigError, check, load, one_line, read, reload
 from ivymux.counter import Counter
 from ivymux.discovery import Discovery, Names
 from ivymux.handover import Handover
@@ -185,7 +186,27 @@
     await door.drain()
 
 
-def main() -> int:
+def check_file(path: str) -> int:
+    """Whether a front door would take this file, and why not."""
+    try:
+        found = check(read(path), os.environ)
+    except ConfigError as error:
+        found = Checked(None, error.problems, ())
+    for problem in found.problems:
+        print(one_line(problem))
+    for key in found.unknown:
+        print(f"{one_line(key)}: unknown, skipped")
+    print(f"{path}: {'would be taken' if found.config is not None else 'would not be taken'}")
+    return 0 if found.config is not None else 2
+
+
+def main(arguments: Sequence[str] = ()) -> int:
+    match arguments:
+        case ["check", path]:
+            return check_file(path)
+        case [_, *_]:
+            print("usage: python -m ivymux [check FILE]", file=sys.stderr)
+            return 2
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     for handler in logging.getLogger().handlers:
         handler.addFilter(Steady())
@@ -198,4 +219,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1:]))
--- a/orchidhill/wire.py
+++ b/orchidhill/wire.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from orchidhill import interface as i
@@ -14,7 +14,11 @@
 
 
 class SettingsError(ValueError):
-    """A settings key that is missing or malformed; the text names the key."""
+    """Settings that cannot be used: every problem found, each with the key's path and its value."""
+
+    def __init__(self, problems: Iterable[str]) -> None:
+        self.problems = tuple(problems)
+        super().__init__("; ".join(self.problems))
 
 
 @dataclass(slots=True)
@@ -250,121 +254,174 @@
     return REPLY.pack(len(body) + REPLY.size - _U32.size, len(parts), number) + body
 
 
-class _Reader:
-    """Typed look-ups in the path=value lines; errors name the key."""
+_LEAST, _MOST = 1e-9, 1e12  # of a number that is not zero: what lies beyond breaks the arithmetic with it
+
+
+class Reader:
+    """Typed look-ups in settings by path.  What is wrong is noted, and something usable stands in for it, so
+    that one pass finds every problem.
+    """
+
+    def __init__(self, values: Mapping[str, str]) -> None:
+        self.values = values
+        self.read: set[str] = set()  # the keys that mean something
+        self.problems: list[str] = []
 
-    def __init__(self, text: str) -> None:
-        self.values: dict[str, str] = {}
-        for line in text.splitlines():
-            key, sep, value = line.partition("=")
-            if sep:
-                self.values[key.strip()] = value.strip()
+    def wrong(self, key: str, why: str) -> None:
+        self.problems.append(f"{key}: {why}: {self.values[key][:80]}")
 
     def text(self, key: str, absent: str | None = None) -> str:
+        self.read.add(key)
         value = self.values.get(key, absent)
         if value is None:
-            raise SettingsError(f"missing setting {key}")
+            self.problems.append(f"{key}: missing")
+            return ""
         return value
 
     def number(self, key: str, absent: float | None = None) -> float:
-        value = self.text(key, None if absent is None else repr(absent))
+        self.read.add(key)
+        if key not in self.values:
+            if absent is None:
+                self.problems.append(f"{key}: missing")
+            return 1.0 if absent is None else absent
         try:
-            number = float(value)
+            number = float(self.values[key])
         except ValueError:
             number = float("nan")
         if not abs(number) < float("inf"):
-            raise SettingsError(f"setting {key} is not a number: {value}")
-        return number
+            self.wrong(key, "not a number")
+        elif number and not _LEAST <= abs(number) <= _MOST:
+            self.wrong(key, "out of range")
+        else:
+            return number
+        return 1.0
 
     def positive(self, key: str) -> float:
-        if (number := self.number(key)) <= 0:
-            raise SettingsError(f"setting {key} is not above zero: {self.values[key]}")
-        return number
+        if (number := self.number(key)) > 0:
+            return number
+        self.wrong(key, "not above zero")
+        return 1.0
+
+    def amount(self, key: str, absent: float | None = None) -> float:
+        if (number := self.number(key, absent)) >= 0:
+            return number
+        self.wrong(key, "below zero")
+        return 1.0
+
+    def share(self, key: str) -> float:
+        if (number := self.amount(key)) <= 1:
+            return number
+        self.wrong(key, "above one")
+        return 1.0
 
     def whole(self, key: str, absent: int | None = None) -> int:
-        number = self.number(key, absent)
+        number = self.amount(key, absent)
         if number != int(number):
-            raise SettingsError(f"setting {key} is not a whole number: {self.values[key]}")
+            self.wrong(key, "not a whole number")
         return int(number)
 
+    def count(self, key: str) -> int:
+        if (number := self.whole(key)) > 0:
+            return number
+        if self.values.get(key) is not None:
+            self.wrong(key, "not above zero")
+        return 1
+
     def flag(self, key: str, absent: bool | None = None) -> bool:
         value = self.text(key, None if absent is None else str(absent).lower())
-        if value not in ("true", "false"):
-            raise SettingsError(f"setting {key} is neither true nor false: {value}")
+        if value not in ("true", "false") and key in self.values:
+            self.wrong(key, "neither true nor false")
         return value == "true"
 
     def listed(self, key: str) -> tuple[str, ...]:
+        self.read.add(key)
         return tuple(part for part in self.values.get(key, "").split(",") if part)
 
     def effect(self, key: str) -> i.Effect:
-        try:
-            return i.Effect(self.text(key))
-        except ValueError:
-            raise SettingsError(f"setting {key} is no effect: {self.text(key)}") from None
+        value = self.text(key)
+        if value in _EFFECTS:
+            return _EFFECTS[value]
+        if key in self.values:
+            self.wrong(key, "no effect")
+        return i.Effect.UNSAFE
 
     def scope(self, key: str) -> i.Scope:
-        try:
-            return i.Scope(self.text(key, "all"))
-        except ValueError:
-            raise SettingsError(f"setting {key} is no scope: {self.text(key)}") from None
+        value = self.text(key, "all")
+        if value in _SCOPES:
+            return _SCOPES[value]
+        self.wrong(key, "no scope")
+        return i.Scope.ALL
+
 
+_EFFECTS = {e.value: e for e in i.Effect}
+_SCOPES = {s.value: s for s in i.Scope}
 
-def _class(r: _Reader, p: str) -> i.RequestClass:
+
+def _class(r: Reader, p: str) -> i.RequestClass:
     return i.RequestClass(
         name=r.text(p + "name"),
         aim=r.positive(p + "goal_time_s"),
         deadline=r.positive(p + "deadline_s"),
         effect=r.effect(p + "effect"),
         scope=r.scope(p + "dedup_scope"),
-        memory=r.number(p + "memory_span_s", 0.0),
-        worth=r.number(p + "worth"),
-        late_worth=r.number(p + "late_value", 0.0),
+        memory=r.amount(p + "memory_span_s", 0.0),
+        worth=r.amount(p + "worth"),
+        late_worth=r.amount(p + "late_value", 0.0),
         stream=r.flag(p + "stream", False),
     )
 
 
-def _plan(r: _Reader, p: str) -> i.Plan:
+def _plan(r: Reader, p: str) -> i.Plan:
     return i.Plan(
         name=r.text(p + "name"),
-        rate=r.number(p + "quota_rate", 0.0),
-        burst=r.number(p + "peak_units", 0.0),
+        rate=r.amount(p + "quota_rate", 0.0),
+        burst=r.amount(p + "peak_units", 0.0),
         parallel=r.whole(p + "parallel", 0),
-        price=r.number(p + "pays"),
-        over_cost=r.number(p + "over_cost", 0.0),
-        over_worth=r.number(p + "beyond_earns", 0.0),
-        ceiling_rate=r.number(p + "never_over_rate", 0.0),
-        ceiling_burst=r.number(p + "hard_burst", 0.0),
-        ceiling_slack=r.number(p + "ceiling_slack", 0.0),
+        price=r.amount(p + "pays"),
+        over_cost=r.amount(p + "over_cost", 0.0),
+        over_worth=r.amount(p + "beyond_earns", 0.0),
+        ceiling_rate=r.amount(p + "never_over_rate", 0.0),
+        ceiling_burst=r.amount(p + "hard_burst", 0.0),
+        ceiling_slack=r.amount(p + "ceiling_slack", 0.0),
     )
 
 
 def parse_settings(text: str) -> i.Settings:
     """The settings message as a typed object; keys it does not know are skipped."""
-    r = _Reader(text)
+    pairs = (line.partition("=") for line in text.splitlines())
+    reader = Reader({key.strip(): value.strip() for key, sep, value in pairs if sep})
+    settings = read_settings(reader)
+    if reader.problems:
+        raise SettingsError(f"setting {problem}" for problem in reader.problems)
+    return settings
+
+
+def read_settings(r: Reader) -> i.Settings:
+    """The settings as a typed object, which holds only if the reader has found no problem."""
     rules = i.Rules(
-        answer_slack=r.number("rules.answer_slack_s"),
-        drain_grace=r.number("rules.drain_grace_s"),
-        cold_share=r.number("rules.cold_share"),
-        warm_up=r.number("rules.warm_up_s"),
-        fall_multiple=r.number("rules.fall_multiple"),
-        fall_time=r.number("rules.fall_s"),
-        ask_within=r.number("rules.ask_within_s", 0.0),
+        answer_slack=r.amount("rules.answer_slack_s"),
+        drain_grace=r.amount("rules.drain_grace_s"),
+        cold_share=r.share("rules.cold_share"),
+        warm_up=r.amount("rules.warm_up_s"),
+        fall_multiple=r.amount("rules.fall_multiple"),
+        fall_time=r.amount("rules.fall_s"),
+        ask_within=r.amount("rules.ask_within_s", 0.0),
     )
-    r.positive("caps.max_attempts")
     limits = i.Limits(
-        max_attempts=r.whole("caps.max_attempts"),
+        max_attempts=r.count("caps.max_attempts"),
         second_copies=r.flag("caps.second_copies"),
         cancel=r.flag("caps.cancel", False),
         probes=r.flag("caps.may_probe", False),
         retry_after=r.flag("caps.retry_after", False),
-        max_retry_after=r.number("caps.max_retry_after_s", 0.0),
-        connect_timeout=r.number("caps.connect_timeout_s"),
+        max_retry_after=r.amount("caps.max_retry_after_s", 0.0),
+        connect_timeout=r.positive("caps.connect_timeout_s"),
     )
     prices = {k.removeprefix("penalties."): r.number(k) for k in r.values if k.startswith("penalties.")}
     has_counter = r.flag("extra.has_counter", False)
+    r.read.add("extra.counter_timeout_s")  # of no use where there is none
     return i.Settings(
         me=r.whole("me"),
-        peers=r.whole("peers_total"),
+        peers=r.count("peers_total"),
         zone=r.whole("az"),
         zones=r.listed("zones"),
         period=r.number("period_s"),
@@ -373,8 +430,8 @@
         rules=rules,
         limits=limits,
         has_counter=has_counter,
-        counter_price=r.number("extra.counter_price", 0.0),
-        counter_timeout=r.number("extra.counter_timeout_s") if has_counter else 0.0,
+        counter_price=r.amount("extra.counter_price", 0.0),
+        counter_timeout=r.positive("extra.counter_timeout_s") if has_counter else 0.0,
         settles=r.flag("extra.settles", False),
         membership_push=r.text("membership_mode", "push") == "push",
         weight_source=r.text("weight_source", "silent"),
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -169,4 +169,4 @@
 
 def test_a_failing_module_is_reported_as_fault() -> None:
     reply = benchlink.answer({}, wire.Batch(1.0, 9, [(3, wire.Configure(1, "me=0"))]))
-    assert b"SettingsError: missing setting" in reply and reply[17] == 10
+    assert b"SettingsError: setting rules.answer_slack_s: missing; " in reply and reply[17] == 10
