Take configurations as generations, by SIGHUP or by calls, and roll them back

Need: SIGHUP swapped parts one after another, so an error half way left them mixed; nothing was kept to go back to; limits and the second address needed a restart; a counter could not be taken away.

Each part prepares a step and all commit in one turn of the loop, or all are discarded. On the second address: GET and PUT /_configuration with If-Match and ?confirm=SECONDS, history, diff, rollback, confirm; 'python -m ivymux diff FILE ADDRESS'. With a shared folder the state is one file, replaced whole, that an upgrade takes over and the other process follows. limits.sockets and management change live. A counter that goes settles the calls it has not written (they waited for ever).

Without a second address no file is written, no timer set and no thread started.

--- a/ivymux/__main__.py
+++ b/ivymux/__main__.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import http.client
 import logging
 import os
 import signal
@@ -13,9 +14,10 @@
 
 import uvloop
 
-from ivymux.config import Checked, Config, ConfigError, check, load, one_line, read, reload
+from ivymux.config import Checked, Config, ConfigError, check, load, one_line, parse_address, read
 from ivymux.counter import Counter
 from ivymux.discovery import Discovery, Names
+from ivymux.generations import Generations, Kept, Step, inherit, state_path
 from ivymux.handover import Handover
 from ivymux.host import Host
 from ivymux.management import MOST_CALLERS, Management
@@ -26,6 +28,7 @@
 
 COUNTER_WAIT = 0.3  # seconds that the start waits for the counter's connections
 LINGER = 0.6  # seconds after SIGTERM in which new connections go on coming
+DIFF_TIMEOUT = 5.0  # seconds for the front door's answer
 LAST_CALL = 1.0  # seconds before the end of an upgrade's drain in which idle connections are closed
 CLIENTS_PART = 0.6  # of the others: a third of all may be clients with requests, and anyone may connect
 OTHER_SOCKETS = SURPLUS + MOST_CALLERS + 40  # kept for operators, discovery, the counter, the loop, the log
@@ -53,12 +56,9 @@
 class FrontDoor:
     """The parts of one front door, wired together."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, kept: Kept | None = None) -> None:
         settings = config.settings
-        self.config = config  # as last taken
-        most = config.sockets - OTHER_SOCKETS
-        self.most_clients = int(CLIENTS_PART * most)
-        self.most_upstream = most - self.most_clients
+        self.most_clients, self.most_upstream = self.shares(config)
         upstream = Upstream(
             settings.limits.connect_timeout, config.conn_idle, settings.report_columns, self.most_upstream
         )
@@ -78,10 +78,21 @@
         self.server = Server(config, host, self.most_clients)
         self.inherits = config.passed is not None
         self.handover = Handover(config.shared, host.post, self.share_sockets)
-        self.management: Management | None = None
-        if config.management is not None:
-            self.management = Management(config.management, self.ready, names.seen, self.handover)
         self.drain_time = self.drain_time_of(config)
+        parts = (
+            self.prepare_names, self.prepare_upstream, self.prepare_server, self.prepare_host,
+            self.prepare_discovery, self.prepare_counter, self.prepare_limits, self.prepare_management,
+        )  # fmt: skip
+        self.generations = Generations(config, os.environ, parts)
+        if (path := state_path(config)) is not None:
+            self.generations.share(path, kept)
+        self.management = self.manage(config)
+
+    @staticmethod
+    def shares(config: Config) -> tuple[int, int]:
+        """The descriptors for clients and for alert servers."""
+        most = config.sockets - OTHER_SOCKETS
+        return int(CLIENTS_PART * most), most - int(CLIENTS_PART * most)
 
     @staticmethod
     def drain_time_of(config: Config) -> float:
@@ -100,7 +111,8 @@
 
     async def start(self) -> None:
         if self.management is not None:
-            await self.management.start()
+            self.management.bind()
+            self.management.open()
         if self.host.counter is not None:
             await asyncio.wait([self.host.counter.ready], timeout=COUNTER_WAIT)
         await self.server.start()
@@ -108,40 +120,91 @@
 
     def share_sockets(self, processes: int) -> None:
         """The limit on descriptors holds for all processes of this front door together."""
-        self.server.most_clients = self.most_clients // processes
+        self.server.limit(self.most_clients // processes)
         self.host.upstream.limit(self.most_upstream // processes)
 
     def reload(self) -> None:
         """The platform has replaced the configuration.  All of it holds from now on, or nothing does."""
-        try:
-            config = reload(os.environ, self.config)
-        except ConfigError as error:
-            log.warning("reload: nothing taken: %s", error)
-            return
-        before, self.config = self.config, config
-        settings, host = config.settings, self.host
-        self.drain_time = self.drain_time_of(config)
-        self.names.name(settings.zones, config.kinds)
-        host.upstream.retune(settings.limits.connect_timeout, config.conn_idle, settings.report_columns)
-        self.server.retune(settings)
-        host.retune(settings)
-        self.discovery.share(*self.asking(settings))
-        if config.discovery != before.discovery:
-            self.discovery.move(config.discovery)
-        if host.counter is not None and config.counter is not None:
-            host.counter.timeout = settings.counter_timeout
-            if config.counter != before.counter:
-                host.counter.move(config.counter)
-        elif settings.has_counter and config.counter is not None:
-            host.counter = Counter(config.counter, settings.counter_timeout, host.post)
-        names = ", ".join(c.name for c in settings.classes)
-        log.info("reload: taken: classes %s; attempts %d", names, settings.limits.max_attempts)
+        self.generations.reload()
+
+    # --- the steps of a change: nothing is changed before all are prepared --------------------------
+
+    def prepare_names(self, before: Config, after: Config) -> Step:
+        return Step(lambda: self.names.name(after.settings.zones, after.kinds))
+
+    def prepare_upstream(self, before: Config, after: Config) -> Step:
+        limits, columns = after.settings.limits, after.settings.report_columns
+        return Step(lambda: self.host.upstream.retune(limits.connect_timeout, after.conn_idle, columns))
+
+    def prepare_server(self, before: Config, after: Config) -> Step:
+        def commit() -> None:
+            self.drain_time = self.drain_time_of(after)
+            self.server.retune(after.settings)
+
+        return Step(commit)
+
+    def prepare_host(self, before: Config, after: Config) -> Step:
+        return Step(lambda: self.host.retune(after.settings))
+
+    def prepare_discovery(self, before: Config, after: Config) -> Step:
+        def commit() -> None:
+            self.discovery.share(*self.asking(after.settings))
+            if after.discovery != self.discovery.address:
+                self.discovery.move(after.discovery)
+
+        return Step(commit)
+
+    def prepare_counter(self, before: Config, after: Config) -> Step:
+        def commit() -> None:
+            host, settings = self.host, after.settings
+            if not settings.has_counter or after.counter is None:
+                if host.counter is not None:
+                    counter, host.counter = host.counter, None
+                    counter.close()
+            elif host.counter is None:
+                host.counter = Counter(after.counter, settings.counter_timeout, host.post)
+            else:
+                host.counter.timeout = settings.counter_timeout
+                if after.counter != host.counter.address:
+                    host.counter.move(after.counter)
+
+        return Step(commit)
+
+    def prepare_limits(self, before: Config, after: Config) -> Step:
+        def commit() -> None:
+            self.most_clients, self.most_upstream = self.shares(after)
+            self.share_sockets(self.handover.processes)
+
+        return Step(commit)
+
+    def prepare_management(self, before: Config, after: Config) -> Step:
+        """The new address listens before the old one closes; one that cannot be listened on is refused."""
+        if after.management == before.management:
+            return Step(lambda: None)
+        made = self.manage(after)
+        if made is not None:
+            made.bind()
+
+        def commit() -> None:
+            old, self.management = self.management, made
+            if made is not None:
+                made.open()
+            if old is not None:
+                old.leave()
+
+        return Step(commit, made.close if made is not None else lambda: None)
+
+    def manage(self, config: Config) -> Management | None:
+        if config.management is None:
+            return None
+        return Management(config.management, self.ready, self.names.seen, self.handover, self.generations)
 
     async def drain(self) -> None:
         """Finish what is held, in time for all of it.  Where no sibling accepts on the same socket, clients
         still come for a while; where one does, they may use their connections until shortly before the end.
         """
         began = time.monotonic()
+        self.generations.stop()
         self.handover.look()
         upgraded = self.inherits and self.handover.processes > 1
         if not upgraded:
@@ -158,6 +221,7 @@
         await self.close()
 
     async def close(self) -> None:
+        self.generations.stop()
         self.server.close()
         await asyncio.sleep(0.05)  # the last answers leave
         if self.management is not None:
@@ -174,7 +238,7 @@
     terminated = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminated.set)
-    door = FrontDoor(config)
+    door = FrontDoor(*inherit(config, os.environ))
     loop.add_signal_handler(signal.SIGHUP, door.reload)
     try:
         await door.start()
@@ -200,12 +264,28 @@
     return 0 if found.config is not None else 2
 
 
+def diff_file(path: str, address: str) -> int:
+    """What would change if the front door behind this second address took this file."""
+    try:
+        at = parse_address(address)
+        connection = http.client.HTTPConnection(at.host, at.port, timeout=DIFF_TIMEOUT)
+        connection.request("PUT", "/_configuration/diff", read(path))
+        answer = connection.getresponse()
+        print(answer.read().decode(errors="replace"), end="")
+    except (ConfigError, OSError, http.client.HTTPException) as error:
+        print(f"ivymux: {one_line(str(error) or type(error).__name__)}", file=sys.stderr)
+        return 2
+    return 0 if answer.status == 200 else 2
+
+
 def main(arguments: Sequence[str] = ()) -> int:
     match arguments:
         case ["check", path]:
             return check_file(path)
+        case ["diff", path, address]:
+            return diff_file(path, address)
         case [_, *_]:
-            print("usage: python -m ivymux [check FILE]", file=sys.stderr)
+            print("usage: python -m ivymux [check FILE | diff FILE ADDRESS]", file=sys.stderr)
             return 2
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     for handler in logging.getLogger().handlers:
--- a/ivymux/config.py
+++ b/ivymux/config.py
@@ -145,8 +145,12 @@
             yield f"{path[:-1]}: not a number: {value}"
 
 
-def check(text: bytes, env: Mapping[str, str], before: Config | None = None) -> Checked:
-    """Every problem of a configuration, at a start or in place of the one before: the one check there is."""
+def check(
+    text: bytes, env: Mapping[str, str], before: Config | None = None, rollback: bool = False
+) -> Checked:
+    """Every problem of a configuration, at a start or in place of the one before: the one check there is.
+    What the one before had and this one lacks was lost on the way, unless it is an earlier one.
+    """
     if len(text) > MOST_CONFIG:
         return Checked(None, (f"larger than {MOST_CONFIG} bytes",), ())
     try:
@@ -199,7 +203,7 @@
         top.problems.append(f"known.seq: not a number: {known.get('seq')}")
     names = [c.name for c in settings.classes]
     own.problems += [f"classes: two have one name: {n}" for n in sorted(set(names)) if names.count(n) > 1]
-    for path in sorted(lacking(before.raw, nested) if before is not None else ()):
+    for path in sorted(lacking(before.raw, nested) if before is not None and not rollback else ()):
         problems.append(f"{path}: missing or no number, and was there before")
     problems += top.problems
     problems += [f"settings.{problem}" for problem in own.problems]
--- a/ivymux/counter.py
+++ b/ivymux/counter.py
@@ -265,5 +265,6 @@
         for task in self.tasks:
             task.cancel()
         for line in self.lines:
+            line.fail_held()
             if line.transport is not None:
                 line.transport.abort()
--- a/ivymux/server.py
+++ b/ivymux/server.py
@@ -652,6 +652,20 @@
             else:
                 victim.transport.close()
 
+    def limit(self, most_clients: int) -> None:
+        """So many connections from now on: those that stand idle go at once, longest idle first, and those
+        with an open request with its answer.
+        """
+        self.most_clients = most_clients
+        surplus = len(self.clients) - most_clients
+        if surplus <= 0:
+            return
+        idle = [c for c in self.clients if not c.pending and not c.arriving and c.transport is not None]
+        for client in sorted(idle, key=lambda c: (not c.broken, c.proven, c.since))[:surplus]:
+            self.clients.discard(client)
+            if client.transport is not None:
+                client.transport.close()
+
     def sweep(self) -> None:
         now = time.monotonic()
         for client in list(self.clients):
--- a/ivymux/upstream.py
+++ b/ivymux/upstream.py
@@ -390,6 +390,9 @@
         if self.owner.pools.get(self.name) is not self:
             link.abort()  # the backend has moved or is gone
             return
+        if self.owner.open > self.owner.most_open:
+            link.abort()  # there may be fewer by now
+            return
         link.idle_since = time.monotonic()
         self.idle.append(link)
 
