Let a request see one generation: its limits and tariff by value, leases by their window

Need: an open request kept its class, but the number of attempts and copies changed under it; a tariff that was renamed was refused from the moment of SIGHUP, though clients hear of it later; and a lease whose plan had changed was dropped as soon as it was idle, with the credits leased in its window, while a call in flight was still granted by the old limit (orchidhill/gateway.py, lease() and settle()).

Change: a job carries the limits and the plan that it came with. A changed quota holds from the window's edge; until then what was leased is honoured and no more is leased than either plan allows, also by the call in flight. A plan that differs in name or price only keeps its leases.

--- a/ivymux/host.py
+++ b/ivymux/host.py
@@ -56,6 +56,7 @@
     payload: Callable[[float], bytes]  # what goes to a backend, given the time that is left
     caller: Caller
     timeout: float  # seconds that its client waits from its last byte on
+    limits: i.Limits  # those that held when it came
     upload: Upload | None
     end: float = math.inf  # monotonic time at which its client gives up; its last byte has yet to come
     guard: asyncio.TimerHandle | None = None
@@ -135,7 +136,7 @@
         upload: Upload | None = None,
     ) -> Open:
         self.number += 1
-        request = Open(self.number, payload, caller, timeout, upload)
+        request = Open(self.number, payload, caller, timeout, self.limits, upload)
         self.table[request.number] = request
         self.waiting += 1
         if upload is None:
@@ -248,9 +249,9 @@
             request is None
             or request.settled
             or left <= 0
-            or number >= self.limits.max_attempts
+            or number >= request.limits.max_attempts
             or (request.upload is not None and not request.upload.again)
-            or (request.out and not self.limits.second_copies)
+            or (request.out and not request.limits.second_copies)
         ):
             closed = request is None or request.settled
             again = request is None or request.upload is None or request.upload.again
--- a/ivymux/server.py
+++ b/ivymux/server.py
@@ -404,9 +404,7 @@
         number, cls = server.find_class(path[1:].partition(b"/")[0], effect)
         if headers.get(b"request-class") != cls.name.encode():
             raise BadRequest("Request-Class is not the path's")
-        plan = server.plans.get(headers.get(b"x-tier", b""))
-        if plan is None:
-            raise BadRequest("no such X-Tier")
+        plan, terms = server.find_plan(headers.get(b"x-tier", b""))
         if method not in (b"GET", b"POST") or effect is not cls.effect:
             raise BadRequest("the method or Idempotency-Key is not that of the class")
         customers = [p[9:] for p in (url.query or b"").split(b"&") if p.startswith(b"customer=")]
@@ -450,6 +448,7 @@
                 is_retry,
                 is_write,
                 cls,
+                terms,
                 streams,
             )
 
@@ -588,6 +587,7 @@
         self.listen, self.passed = config.listen, config.passed
         self.loop = asyncio.get_running_loop()
         self.classes: dict[bytes, tuple[int, i.RequestClass]] = {}
+        self.plans: dict[bytes, tuple[int, i.Plan]] = {}
         self.retune(config.settings)
         self.clients: set[Client] = set()
         self.held = 0
@@ -596,12 +596,13 @@
         self.timer = self.loop.call_later(SWEEP, self.sweep)
 
     def retune(self, settings: i.Settings) -> None:
-        """Classes and plans from now on.  Clients hear of them a moment later, so what they name in the old
+        """Classes and tariffs from now on.  Clients hear of them a moment later, so what they name in the old
         way is taken as it was for that long.
         """
-        self.fading, self.faded_at = self.classes, time.monotonic() + FADE
+        self.fading, self.fading_plans = self.classes, self.plans
+        self.faded_at = time.monotonic() + FADE
         self.classes = {c.name.encode(): (n, c) for n, c in enumerate(settings.classes)}
-        self.plans = {p.name.encode(): n for n, p in enumerate(settings.plans)}
+        self.plans = {p.name.encode(): (n, p) for n, p in enumerate(settings.plans)}
 
     def find_class(self, name: bytes, effect: Effect) -> tuple[int, i.RequestClass]:
         """The class that a request means; just after a reload that may be one as it was before."""
@@ -614,6 +615,15 @@
             raise BadRequest("no such class", 404)
         return found
 
+    def find_plan(self, name: bytes) -> tuple[int, i.Plan]:
+        """The tariff that a request names; one that was renamed or dropped a moment ago as it was."""
+        found = self.plans.get(name)
+        if found is None and time.monotonic() < self.faded_at:
+            found = self.fading_plans.get(name)
+        if found is None:
+            raise BadRequest("no such X-Tier")
+        return found
+
     async def start(self) -> None:
         if self.passed is None:
             self.server = await self.loop.create_server(
--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -87,6 +87,9 @@
     bucket_at: float = 0.0
     touched: float = 0.0
     waiters: deque[Job] = field(default_factory=deque)
+    later: i.Plan | None = (
+        None  # takes the place of `plan` at the window's edge; no more than it allows is leased
+    )
 
 
 @dataclass(slots=True)
@@ -115,6 +118,7 @@
     req: i.Request
     cls: i.RequestClass
     plan: i.Plan
+    limits: i.Limits  # as its class and plan, those that held when it came
     arrived: float
     end: float
     leases: list[Lease]
@@ -201,11 +205,11 @@
     # --- admission by lease (GALE) ---------------------------------------------------------------
 
     def on_request(self, req: i.Request) -> None:
-        plan = self.settings.plans[req.plan]
+        plan = req.own_plan or self.settings.plans[req.plan]
         kinds = [slots for slots, on in ((False, plan.rate > 0), (True, plan.parallel > 0)) if on]
         leases = [self.lease(req, plan, slots) for slots in kinds]
         cls = req.own or self.settings.classes[req.cls]
-        job = Job(req, cls, plan, self.now, self.now + req.left, leases)
+        job = Job(req, cls, plan, self.settings.limits, self.now, self.now + req.left, leases)
         job.whole = not req.streams
         self.jobs[req.request] = job
         self.probe()
@@ -215,16 +219,9 @@
     def lease(self, req: i.Request, plan: i.Plan, slots: bool) -> Lease:
         lease = self.leases.get((req.customer, slots))
         if lease is not None and lease.plan is not plan:  # after a reload, or of another plan
-            idle = not (lease.waiting or lease.waiters or lease.in_use)
-            if lease.plan != plan and idle:
-                lease = None  # it learns its size anew
-            elif lease.plan == plan:
-                lease.plan = plan
+            lease = self.replan(lease, plan)
         if lease is None:
-            # Whole units: a burst, or under a ceiling what fits it twice over and twice more unasked.
-            most = min(plan.burst, plan.ceiling_burst / 4 if plan.ceiling_rate else plan.burst)
-            base = float(plan.parallel) if slots else max(1.0, math.floor(most))
-            length = 2 * max(c.deadline for c in self.settings.classes) if slots else base / plan.rate
+            base, length = self.window(plan, slots)
             width = max(1, min(req.width, self.settings.peers))
             first = max(1.0, base / width)  # a new customer's first lease is its share
             phase = mix(req.customer) / 2**64 * length
@@ -236,6 +233,30 @@
         lease.touched = self.now
         return lease
 
+    def window(self, plan: i.Plan, slots: bool) -> tuple[float, float]:
+        """A window's own limit and its length.  Whole units: a burst, or under a ceiling what fits it twice
+        over and twice more unasked.
+        """
+        if slots:
+            return float(plan.parallel), 2 * max(c.deadline for c in self.settings.classes)
+        most = min(plan.burst, plan.ceiling_burst / 4 if plan.ceiling_rate else plan.burst)
+        base = max(1.0, math.floor(most))
+        return base, base / plan.rate
+
+    def replan(self, lease: Lease, plan: i.Plan) -> Lease | None:
+        """Another plan for a customer.  What was leased holds to its window's edge, and until then no more is
+        leased than either plan allows; from then on a lease is made anew, and learns its size anew."""
+        base, length = self.window(plan, lease.slots)
+        if (base, length) == self.window(lease.plan, lease.slots):
+            lease.plan, lease.later = plan, None  # another name or price: the windows stay
+            return lease
+        over = math.floor((self.now + lease.phase) / lease.length) != lease.window
+        busy = lease.waiting or lease.waiters or (lease.slots and lease.in_use)
+        if over and not busy:
+            return None
+        lease.later = plan
+        return lease
+
     def admit(self, job: Job) -> None:
         """Take a credit of each of the job's leases, then send it on; else it waits or is refused."""
         for lease in job.leases:
@@ -344,7 +365,8 @@
 
     def settle(self, lease: Lease) -> None:
         """Keep what fits and serve the waiters; the rest stays added (a full window), but for slots."""
-        excess = max(0.0, lease.total - lease.base)
+        base = min(lease.base, self.window(lease.later, lease.slots)[0]) if lease.later else lease.base
+        excess = max(0.0, lease.total - base)
         first = self.units(lease, lease.waiters[0]) if lease.waiters else 1.0
         grant = max(0.0, lease.asked - excess)
         if excess > EPS:
@@ -454,7 +476,7 @@
             lease.owed += units
             self.spend(lease, job, units)
         else:
-            self.refuse(job, self.settings.limits.max_retry_after / 2)
+            self.refuse(job, job.limits.max_retry_after / 2)
 
     def release(self, job: Job, unsent: bool) -> None:
         """Slots go back; rate credit only if the request was never sent on."""
@@ -507,8 +529,13 @@
         return min((c.aim for c in self.settings.classes), default=1.0)
 
     def on_retuned(self, settings: i.Settings) -> None:
-        """Jobs keep the class that they came with, by value, and all that was learned stays."""
+        """Jobs keep class, plan and limits that they came with, by value, and all that was learned stays."""
+        plans = {plan.name: plan for plan in settings.plans}
+        changed = {p.name: plans[p.name] for p in self.settings.plans if plans.get(p.name, p) != p}
         self.settings = settings
+        for lease in self.leases.values() if changed else ():
+            if (plan := changed.get(lease.plan.name)) and bool(plan.parallel if lease.slots else plan.rate):
+                self.replan(lease, plan)  # also for the lease that is in flight
         self.aim = self.shortest_aim()
         if not self.pace:
             self.pace = self.steady = self.first_pace()
@@ -800,7 +827,7 @@
 
     def further(self, job: Job) -> None:
         """No attempt is out and none served: try again where its class allows, else end it."""
-        more = job.attempts < self.settings.limits.max_attempts and self.now < job.end - MARGIN
+        more = job.attempts < job.limits.max_attempts and self.now < job.end - MARGIN
         if not more or not job.again or not self.allowed(job):
             self.end(job)
         elif self.missed > MISSED:
@@ -820,7 +847,7 @@
 
     def refuse(self, job: Job, retry_after: float) -> None:
         self.close(job)
-        most = self.settings.limits.max_retry_after  # told also where clients at large do not heed it
+        most = job.limits.max_retry_after  # told also where clients at large do not heed it
         self.actions.append(i.Refuse(job.req.request, min(max(0.0, retry_after), most)))
 
     def close(self, job: Job | None) -> None:
@@ -867,9 +894,9 @@
 
     def rescue(self) -> None:
         """Second attempts for what sits on a backend that has stopped answering or is far too slow."""
-        limits = self.settings.limits
         for job in [j for j in self.jobs.values() if not j.closed and len(j.out) == 1 and not j.req.streams]:
             ((attempt, (backend, sent)),) = job.out.items()
+            limits = job.limits
             # Any class's answer hides that another gets none: silence is judged by backend and class.
             if self.now - sent >= SUSPECT * self.latency:
                 backend.silent[job.cls.name] = self.now
--- a/orchidhill/interface.py
+++ b/orchidhill/interface.py
@@ -177,6 +177,7 @@
     is_retry: bool
     is_write: bool
     own: RequestClass | None = None  # its class by value, where settings change while it is served
+    own_plan: Plan | None = None  # and its plan
     streams: bool = False  # its body is still coming: an alert server begins it once it is `Whole`
 
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -15,7 +15,9 @@
 
 from ivymux.__main__ import FrontDoor
 from ivymux.config import ConfigError, lacking, load, parse
+from orchidhill import interface as i
 
+from .helpers import entry
 from .sockets import Agent, Backend, Client, config_text, host_line, listening, run, until
 
 CUSTOMERS = itertools.count(1)
@@ -89,6 +91,60 @@
     run(test())
 
 
+def test_a_renamed_tariff_is_known_by_both_names_for_a_moment(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with reloadable(tmp_path, monkeypatch) as (door, raw):
+            raw["settings"]["tariffs"][0]["name"] = "fresh"
+            put(raw, tmp_path)
+            door.reload()
+
+            async def named(name: str) -> int:
+                async with Client(door.server) as client:
+                    text = client.request(X_Tier=name)
+                    text = text.replace(b"=0000000000000005", b"=%016x" % next(CUSTOMERS))
+                    return (await client.send(text)).status
+
+            door.server.faded_at = math.inf
+            assert [await named("fresh"), await named("plan-0")] == [200, 200]
+            door.server.faded_at = 0.0
+            assert [await named("fresh"), await named("plan-0")] == [200, 400]
+
+    run(test())
+
+
+def test_an_open_request_keeps_the_limits_that_it_came_with(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with reloadable(tmp_path, monkeypatch) as (door, raw):
+            # None of these has an address: every attempt fails to connect, one after another.
+            door.host.post(i.Members(i.Listing.FULL, 99, tuple(entry(n) for n in range(10, 20))))
+            sent: list[int] = []
+            send = door.host.send
+            changed = json.loads(json.dumps(raw))
+            changed["settings"]["caps"]["max_attempts"] = 2
+            put(changed, tmp_path)
+
+            def reload_then_send(action: Any) -> None:
+                sent.append(action.request)
+                if len(sent) == 1:
+                    door.reload()
+                send(action)
+
+            monkeypatch.setattr(door.host, "send", reload_then_send)
+            async with Client(door.server) as client:
+                assert (await client.ask()).status == 503
+                assert sent == [1] * 4  # it came under four
+                sent.append(0)
+                other = client.request().replace(b"=0000000000000005", b"=0000000000000006")
+                assert (await client.send(other)).status == 503
+                assert sent[5:] == [2] * 2
+
+    run(test())
+
+
 def set_to(section: str, key: str, value: object) -> Change:
     def change(raw: Raw) -> None:
         at = raw["settings"][section]
