--- a/ivymux/__main__.py
+++ b/ivymux/__main__.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import gc
-import http.client
 import logging
 import os
 import signal
@@ -266,6 +265,8 @@
 
 def diff_file(path: str, address: str) -> int:
     """What would change if the front door behind this second address took this file."""
+    import http.client  # 1.5 MB that no front door needs
+
     try:
         at = parse_address(address)
         connection = http.client.HTTPConnection(at.host, at.port, timeout=DIFF_TIMEOUT)
