Measure requests, attempts, connections and cost, and show it to Prometheus

Need: nothing told what a request costs the process, which is to be brought down next.

Change: ivymux/metrics.py. The parts add to plain integers; GET /_metrics on the second address gives them with prometheus_client (pinned), on a registry of its own, loaded on a thread at the first scrape. Each way in which a connection to an alert server ends has its reason. One line at a drained end sums up a request's cost.

Measured: without a scrape the library is not loaded (a test); an update is an addition.

--- a/ivymux/__main__.py
+++ b/ivymux/__main__.py
@@ -20,6 +20,7 @@
 from ivymux.handover import Handover
 from ivymux.host import Host
 from ivymux.management import MOST_CALLERS, Management
+from ivymux.metrics import Counts, Metrics, descriptors
 from ivymux.server import SURPLUS, Server
 from ivymux.upstream import Upstream
 from orchidhill.gateway import Gateway
@@ -40,8 +41,9 @@
 
     MOST = 50
 
-    def __init__(self) -> None:
+    def __init__(self, counts: Counts) -> None:
         super().__init__()
+        self.counts = counts
         self.second, self.seen = 0, 0
 
     def filter(self, record: logging.LogRecord) -> bool:
@@ -49,21 +51,31 @@
         if second != self.second:
             self.second, self.seen = second, 0
         self.seen += 1
-        return self.seen <= self.MOST
+        if self.seen <= self.MOST:
+            return True
+        self.counts.log_dropped += 1
+        return False
 
 
 class FrontDoor:
     """The parts of one front door, wired together."""
 
-    def __init__(self, config: Config, kept: Kept | None = None) -> None:
+    def __init__(self, config: Config, kept: Kept | None = None, counts: Counts | None = None) -> None:
         settings = config.settings
+        self.began = time.monotonic()
+        counts = self.counts = counts or Counts()
+        self.metrics = Metrics(counts)
         self.most_clients, self.most_upstream = self.shares(config)
         upstream = Upstream(
-            settings.limits.connect_timeout, config.conn_idle, settings.report_columns, self.most_upstream
+            settings.limits.connect_timeout,
+            config.conn_idle,
+            settings.report_columns,
+            self.most_upstream,
+            counts,
         )
-        host = self.host = Host(Gateway(settings, config.seed), upstream)
+        host = self.host = Host(Gateway(settings, config.seed), upstream, counts)
         if settings.has_counter and config.counter is not None:
-            host.counter = Counter(config.counter, settings.counter_timeout, host.post)
+            host.counter = Counter(config.counter, settings.counter_timeout, host.post, counts)
         names = self.names = Names(settings.zones, config.kinds)
         seq = 0
         if config.known:
@@ -73,7 +85,7 @@
                 raise ConfigError(f"known: {type(error).__name__}: {error}") from None
             seq = members.version
             host.members(members, addresses)
-        self.discovery = Discovery(config.discovery, names, seq, host.members, *self.asking(settings))
+        self.discovery = Discovery(config.discovery, names, seq, host.members, *self.asking(settings), counts)
         self.server = Server(config, host, self.most_clients)
         self.inherits = config.passed is not None
         self.handover = Handover(config.shared, host.post, self.share_sockets)
@@ -86,6 +98,7 @@
         if (path := state_path(config)) is not None:
             self.generations.share(path, kept)
         self.management = self.manage(config)
+        self.gauges()
 
     @staticmethod
     def shares(config: Config) -> tuple[int, int]:
@@ -108,10 +121,47 @@
         counter = self.host.counter
         return self.server.ready() and (counter is None or counter.ready.done())
 
+    def gauges(self) -> None:
+        host, gauge = self.host, self.metrics.gauge
+        gauge("descriptors", "Descriptors by their owner, and all of them.", "owner", self.owners)
+        gauge(
+            "descriptors_most",
+            "The most there may be.",
+            "owner",
+            lambda: {"clients": self.server.most_clients, "alert_servers": host.upstream.most_open},
+        )
+        gauge(
+            "connections_idle",
+            "Connections to alert servers that stand idle.",
+            "",
+            lambda: {"": sum(len(pool.idle) for pool in host.upstream.pools.values())},
+        )
+        gauge("requests_open", "Requests without their whole answer.", "", lambda: {"": host.waiting})
+        gauge("alert_servers", "Alert servers listed.", "", lambda: {"": len(host.upstream.pools)})
+        gauge("processes", "Processes that serve as this one.", "", lambda: {"": self.handover.processes})
+        gauge("generation", "The running configuration.", "", lambda: {"": self.generations.running.number})
+        gauge(
+            "generation_take_most_seconds",
+            "The longest time for which a change has held the loop.",
+            "",
+            lambda: {"": self.generations.longest},
+        )
+
+    def owners(self) -> dict[str, float]:
+        counter = self.host.counter
+        return {
+            "clients": len(self.server.clients),
+            "alert_servers": self.host.upstream.open,
+            "counter": sum(line.transport is not None for line in counter.lines) if counter else 0,
+            "management": len(self.management.callers) if self.management is not None else 0,
+            "all": descriptors(),
+        }
+
     async def start(self) -> None:
         if self.management is not None:
             self.management.bind()
             self.management.open()
+            self.metrics.start()
         if self.host.counter is not None:
             await asyncio.wait([self.host.counter.ready], timeout=COUNTER_WAIT)
         await self.server.start()
@@ -161,7 +211,7 @@
                     counter, host.counter = host.counter, None
                     counter.close()
             elif host.counter is None:
-                host.counter = Counter(after.counter, settings.counter_timeout, host.post)
+                host.counter = Counter(after.counter, settings.counter_timeout, host.post, self.counts)
             else:
                 host.counter.timeout = settings.counter_timeout
                 if after.counter != host.counter.address:
@@ -188,6 +238,9 @@
             old, self.management = self.management, made
             if made is not None:
                 made.open()
+                self.metrics.start()
+            else:
+                self.metrics.stop()
             if old is not None:
                 old.leave()
 
@@ -196,7 +249,9 @@
     def manage(self, config: Config) -> Management | None:
         if config.management is None:
             return None
-        return Management(config.management, self.ready, self.names.seen, self.handover, self.generations)
+        return Management(
+            config.management, self.ready, self.names.seen, self.handover, self.generations, self.metrics
+        )
 
     async def drain(self) -> None:
         """Finish what is held, in time for all of it.  Where no sibling accepts on the same socket, clients
@@ -217,10 +272,13 @@
         while self.host.waiting and time.monotonic() - began < self.drain_time:
             await asyncio.sleep(0.01)
         self.host.answer_all()
+        if self.management is not None:
+            log.info("drained: %s", self.metrics.summary(self.began))
         await self.close()
 
     async def close(self) -> None:
         self.generations.stop()
+        self.metrics.stop()
         self.server.close()
         await asyncio.sleep(0.05)  # the last answers leave
         if self.management is not None:
@@ -232,12 +290,12 @@
         self.host.upstream.close()
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, counts: Counts) -> None:
     loop = asyncio.get_running_loop()
     terminated = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminated.set)
-    door = FrontDoor(*inherit(config, os.environ))
+    door = FrontDoor(*inherit(config, os.environ), counts)
     loop.add_signal_handler(signal.SIGHUP, door.reload)
     try:
         await door.start()
@@ -289,10 +347,11 @@
             print("usage: python -m ivymux [check FILE | diff FILE ADDRESS]", file=sys.stderr)
             return 2
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+    counts = Counts()
     for handler in logging.getLogger().handlers:
-        handler.addFilter(Steady())
+        handler.addFilter(Steady(counts))
     try:
-        uvloop.run(serve(load(os.environ)))
+        uvloop.run(serve(load(os.environ), counts))
     except ConfigError as error:
         print(f"ivymux: {' '.join(str(error).split())}", file=sys.stderr)
         return 2
--- a/ivymux/counter.py
+++ b/ivymux/counter.py
@@ -15,6 +15,7 @@
 
 from ivymux.config import Address
 from ivymux.discovery import jittered
+from ivymux.metrics import Counts
 from orchidhill.interface import Count, Counted, Outcome
 
 LINES = 4  # connections; the counter holds 32 of a front door
@@ -147,6 +148,7 @@
         self.transport, self.connecting, self.unsent = transport, False, False
         self.reader, self.partial = hiredis.Reader(), 0
         self.heard = time.monotonic()
+        self.owner.counts.counter_opened += 1
         if self.moving:
             self.leave()
             return
@@ -207,8 +209,10 @@
 class Counter:
     """Calls by name: those of one name share a connection, so their answers come in their order."""
 
-    def __init__(self, address: Address, timeout: float, done: Callable[[Counted], None]) -> None:
-        self.address, self.timeout, self.done = address, timeout, done
+    def __init__(
+        self, address: Address, timeout: float, done: Callable[[Counted], None], counts: Counts
+    ) -> None:
+        self.address, self.timeout, self.done, self.counts = address, timeout, done, counts
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task[None]] = set()
         self.expiring: deque[tuple[Call, Line]] = deque()  # all wait equally long: oldest first
@@ -249,6 +253,7 @@
     def settle(self, call: Call, outcome: Outcome, total: float = 0.0) -> None:
         if not call.settled and call.count is not None:
             call.settled = True
+            self.counts.counter_calls[outcome.name.lower()] += 1
             self.done(Counted(call.count.name, outcome, total, time.monotonic() - call.began))
 
     def look(self) -> None:
--- a/ivymux/discovery.py
+++ b/ivymux/discovery.py
@@ -16,6 +16,7 @@
 import httptools
 
 from ivymux.config import Address, parse_address, plain
+from ivymux.metrics import Counts
 from orchidhill.interface import Entry, Listing, Members, State
 
 MOST_LINE = 4 << 20  # bytes of one line; a longer one ends the watch
@@ -169,9 +170,17 @@
     """Keeps a watch open and tells of every list and change."""
 
     def __init__(
-        self, address: Address, names: Names, seq: int, heard: Heard, askers: int = 1, ask_within: float = 0.0
+        self,
+        address: Address,
+        names: Names,
+        seq: int,
+        heard: Heard,
+        askers: int = 1,
+        ask_within: float = 0.0,
+        counts: Counts | None = None,
     ) -> None:
         self.address, self.names, self.seq, self.heard = address, names, seq, heard
+        self.counts = counts or Counts()
         self.share(askers, ask_within)
         self.loop = asyncio.get_running_loop()
         self.heard_at = 0.0
@@ -194,6 +203,7 @@
             began, status = time.monotonic(), 0
             with contextlib.suppress(OSError, TimeoutError):
                 status = await self.watch()
+            self.counts.watches[status] += 1
             # A refusal is no watch that was well, however long it was in coming: the calls are too many.
             well = status == 200 and time.monotonic() - began > LASTED
             bound = RETRY_FIRST if well else min(RETRY_MOST, 2 * bound)
@@ -224,9 +234,12 @@
             members, addresses = self.names.members(json.loads(line))
         except (*MALFORMED, RecursionError) as error:
             log.warning("discovery: line skipped: %s: %s", type(error).__name__, error)
+            self.counts.lists["skipped"] += 1
             return
         if members.listing is Listing.DELTA and members.version <= self.seq:
+            self.counts.lists["known"] += 1
             return  # a change that is known already
+        self.counts.lists[members.listing.name.lower()] += 1
         self.seq = members.version
         self.heard(members, addresses)
 
--- a/ivymux/host.py
+++ b/ivymux/host.py
@@ -13,12 +13,14 @@
 
 from ivymux.config import Address
 from ivymux.counter import Counter
+from ivymux.metrics import Counts
 from ivymux.upstream import Attempt, Body, Flow, Result, Sink, Upstream
 from orchidhill import interface as i
 from orchidhill.gateway import Gateway
 from orchidhill.interface import Outcome, State
 
 ATTEMPT_MARGIN = 0.030  # seconds before the client's deadline at which an attempt is given up
+OUTCOMES = {200: "served", 503: "refused"}  # of requests, by the answer's status; any other: failed
 GUARD_MARGIN = 0.015  # and at which the request is answered whatever the module does
 
 log = logging.getLogger(__name__)
@@ -58,6 +60,7 @@
     timeout: float  # seconds that its client waits from its last byte on
     limits: i.Limits  # those that held when it came
     upload: Upload | None
+    label: str  # its class's, where it is counted
     end: float = math.inf  # monotonic time at which its client gives up; its last byte has yet to come
     guard: asyncio.TimerHandle | None = None
     flow: Flow | None = None  # the answer that is being passed on
@@ -68,8 +71,8 @@
 
 
 class Host:
-    def __init__(self, gateway: Gateway, upstream: Upstream) -> None:
-        self.gateway, self.upstream = gateway, upstream
+    def __init__(self, gateway: Gateway, upstream: Upstream, counts: Counts) -> None:
+        self.gateway, self.upstream, self.counts = gateway, upstream, counts
         self.counter: Counter | None = None
         self.limits = gateway.settings.limits
         self.loop = asyncio.get_running_loop()
@@ -136,12 +139,15 @@
         upload: Upload | None = None,
     ) -> Open:
         self.number += 1
-        request = Open(self.number, payload, caller, timeout, self.limits, upload)
+        event = make(self.number)
+        cls = event.own or self.gateway.settings.classes[event.cls]
+        label = self.counts.label(cls.name)
+        request = Open(self.number, payload, caller, timeout, self.limits, upload, label)
         self.table[request.number] = request
         self.waiting += 1
         if upload is None:
             self.run_time(request)
-        self.post(make(request.number))
+        self.post(event)
         return request
 
     def run_time(self, request: Open) -> None:
@@ -291,6 +297,7 @@
 
     def finished(self, request: Open, number: int, backend: int, result: Result) -> None:
         attempt = request.out.pop(number, None)
+        self.counts.attempts[result.outcome.name.lower()] += 1
         if attempt is not None and attempt.flowing:
             request.flow = None
             self.waiting -= 1
@@ -314,6 +321,11 @@
     def settle(self, request: Open, answer: Answer | None) -> None:
         request.settled = True
         self.waiting -= 1
+        if answer is not None:
+            outcome = OUTCOMES.get(answer.status, "failed")
+        else:
+            outcome = "served" if request.flow is not None else "left"
+        self.counts.requests[request.label, outcome] += 1
         if request.guard is not None:
             request.guard.cancel()
         if answer is not None:
--- a/ivymux/management.py
+++ b/ivymux/management.py
@@ -19,6 +19,7 @@
 from ivymux.discovery import backend_id
 from ivymux.generations import MOST_CONFIRM, Generation, Generations, Refused
 from ivymux.handover import Handover
+from ivymux.metrics import CONTENT_TYPE, Metrics
 
 MOST_CALLERS = 24  # connections held at once; beyond it the oldest gives way to the newest
 MOST_BYTES = 8 * 1024  # of a call
@@ -33,11 +34,12 @@
     500: "Internal Server Error", 503: "Service Unavailable",
 }  # fmt: skip
 READY, DETACH, ATTACH = b"/_ready", b"/_alert-servers/detach", b"/_alert-servers/attach"
+METRICS = b"/_metrics"
 CONFIGURATION, HISTORY = b"/_configuration", b"/_configuration/history"
 ROLLBACK, CONFIRM = b"/_configuration/rollback", b"/_configuration/confirm"
 DIFF = b"/_configuration/diff"
 METHODS = {
-    READY: (b"GET",), DETACH: (b"PUT",), ATTACH: (b"PUT",),
+    READY: (b"GET",), METRICS: (b"GET",), DETACH: (b"PUT",), ATTACH: (b"PUT",),
     CONFIGURATION: (b"GET", b"PUT"), HISTORY: (b"GET",),
     ROLLBACK: (b"PUT",), CONFIRM: (b"PUT",), DIFF: (b"PUT",),
 }  # fmt: skip
@@ -186,9 +188,11 @@
         seen: dict[str, int],
         handover: Handover,
         generations: Generations,
+        metrics: Metrics,
     ) -> None:
         self.address, self.ready, self.seen, self.handover = address, ready, seen, handover
-        self.generations = generations
+        self.generations, self.metrics = generations, metrics
+        self.scraping = False
         self.loop = asyncio.get_running_loop()
         self.callers: dict[Caller, float] = {}  # oldest first
         self.held = 0  # bytes of configurations on their way
@@ -238,7 +242,7 @@
             return line(200, "ready") if self.ready() else line(503, "not ready")
         if call.path in (DETACH, ATTACH):
             return self.by_hand(call)
-        return self.configuration(call)
+        return self.scrape() if call.path == METRICS else self.configuration(call)
 
     def by_hand(self, call: Call) -> Reply:
         name = call.body.strip().decode("latin-1")
@@ -254,6 +258,15 @@
             return line(500, "could not be put on file")
         return line(200, "detached" if call.path == DETACH else "attached")
 
+    async def scrape(self) -> Reply:
+        if self.scraping:
+            raise Refused(503, "another scrape is under way")
+        self.scraping = True
+        try:
+            return Reply(200, await self.metrics.text(), CONTENT_TYPE)
+        finally:
+            self.scraping = False
+
     async def configuration(self, call: Call) -> Reply:
         generations = self.generations
         if call.path == HISTORY:
--- a/ivymux/server.py
+++ b/ivymux/server.py
@@ -369,11 +369,13 @@
         self.pending.append(exchange)
         if len(self.pending) > MOST_PIPELINED:
             # One read may hold hundreds of requests, each with an answer of 64 KiB to be kept for its turn.
+            self.server.host.counts.rejected[503] += 1
             exchange.reply(Answer(503, retry_after=1.0))
             return
         try:
             self.take(exchange)
         except BadRequest as error:
+            self.server.host.counts.rejected[error.status] += 1
             exchange.reply(Answer(error.status, f"{error}\n".encode()))
         except Exception:
             log.exception("a request could not be taken")
@@ -393,6 +395,7 @@
             return
         if exchange.client.surplus:
             exchange.keep_alive = False
+            server.host.counts.rejected[503] += 1
             exchange.reply(Answer(503, retry_after=1.0))
             return
         headers = dict(self.headers)
@@ -419,6 +422,7 @@
         body, upload = b"".join(self.body), exchange.upload
         streams = upload is not None
         if server.held + len(body) > MOST_HELD:
+            server.host.counts.rejected[503] += 1
             exchange.reply(Answer(503, retry_after=1.0))  # nothing has run: memory is bounded
             return
         exchange.held = len(body)
@@ -534,6 +538,7 @@
         if self.broken:
             return
         self.broken = True
+        self.server.host.counts.rejected[error.status] += 1
         exchange, self.exchange = self.exchange, None
         if exchange is None:
             exchange = Exchange(self, keep_alive=False)
@@ -646,6 +651,7 @@
 
     def add(self, client: Client) -> None:
         self.clients.add(client)
+        self.host.counts.clients_opened += 1
         if len(self.clients) <= self.most_clients:
             return
         # Descriptors are bounded: a connection that has ended or never asked gives way, else the one that has
@@ -653,6 +659,7 @@
         idle = [c for c in self.clients if not c.pending and not c.arriving and c is not client]
         victim = min(idle, key=lambda c: (not c.broken, c.proven, c.since), default=None)
         client.surplus = victim is None
+        self.host.counts.clients_refused += client.surplus
         if victim is None and len(self.clients) > self.most_clients + SURPLUS:
             victim = client
         if victim is not None and victim.transport is not None:
--- a/ivymux/upstream.py
+++ b/ivymux/upstream.py
@@ -13,6 +13,7 @@
 import httptools
 
 from ivymux.config import Address
+from ivymux.metrics import Counts
 from orchidhill.interface import Outcome
 
 SMALL = 64 * 1024  # bytes of a body that are held whole; a larger one is passed on as it comes
@@ -115,7 +116,7 @@
             self.fail(Outcome.MOOT if why is Outcome.CANCELLED else Outcome.CONNECT_FAILED)
         else:
             self.verdict = why
-            self.link.abort()
+            self.link.end("given_up")
 
 
 class Link(asyncio.BufferedProtocol):
@@ -133,6 +134,7 @@
         self.sink: Sink | None = None  # where an answer goes that is passed on as it comes
         self.paused = False  # it is not read: its client does not read either
         self.moved_at = 0.0  # when a byte last came, or was last written
+        self.why = ""  # it was ended here
         self.parser = httptools.HttpResponseParser(self)
         self.clear()
 
@@ -196,19 +198,20 @@
 
     def buffer_updated(self, count: int) -> None:
         if self.attempt is None:
-            self.abort()  # an answer that nobody asked for: framing is lost
+            self.pool.owner.counts.stale += 1
+            self.end("unasked_bytes")  # an answer that nobody asked for: framing is lost
             return
         self.head += count
         self.moved_at = time.monotonic()
         try:
             self.parser.feed_data(READ[:count])
         except httptools.HttpParserUpgrade:
-            self.abort()
+            self.spoilt("malformed")
         except httptools.HttpParserError as error:
             log.warning("backend %s: %s", self.pool.name, error)
-            self.abort()
+            self.spoilt("malformed")
         if not self.headed_at and self.head > MOST_HEAD:
-            self.abort()  # a head without an end would hold its attempt to the deadline
+            self.spoilt("endless_head")  # it would hold its attempt to the deadline
         # Not from within the parser: the rest of these bytes is no answer to a request that is sent now.
         if self.result is not None:
             self.hand_over(self.result)
@@ -263,7 +266,7 @@
             self.sink = attempt.begun(Flow(self.length, self.content_type, self))
         if self.sink is None:
             attempt.verdict = Outcome.CANCELLED
-            self.abort()
+            self.end("given_up")
             return
         attempt.flowing = True
         attempt.stop_timer()
@@ -300,8 +303,10 @@
         if attempt.body is not None:
             attempt.body.detach(self)
         self.resume()
-        if self.surplus or self.unsent:
-            self.abort()
+        if self.surplus:
+            self.spoilt("surplus_bytes")
+        elif self.unsent:
+            self.end("early_answer")
         elif self.keep:
             self.clear()
             self.pool.put(self)
@@ -315,6 +320,15 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def end(self, why: str) -> None:
+        self.why = self.why or why
+        self.abort()
+
+    def spoilt(self, how: str) -> None:
+        """What came is no answer, or more than one."""
+        self.pool.owner.counts.broken[how] += 1
+        self.end("spoilt")
+
     def look(self, before: float) -> None:
         """End a body that has made no way since then: neither its client nor another limit may ever do so."""
         if self.attempt is None or (self.sink is None and self.attempt.body is None):
@@ -322,10 +336,11 @@
         stuck = self.unsent if self.sending() else self.sink is not None and not self.paused
         if stuck and self.moved_at < before:
             log.warning("backend %s: a body stood still", self.pool.name)
-            self.abort()
+            self.end("stalled")
 
     def connection_lost(self, error: Exception | None) -> None:
         self.pool.forget(self)
+        self.pool.owner.counts.closed[self.why or ("broke_off" if self.attempt else "by_server")] += 1
         if (attempt := self.attempt) is not None:
             sending = self.sending()
             self.attempt = None
@@ -353,8 +368,10 @@
         while self.idle:
             link = self.idle.pop()
             if link.transport is not None and not link.transport.is_closing():
+                self.owner.counts.reused += 1
                 link.carry(attempt)
                 return
+            self.owner.counts.stale += 1
         if self.connecting + len(self.links) >= PER_BACKEND or not self.owner.make_room():
             # Nothing was sent.  Not a failed connection: the backend is not to blame.
             self.owner.loop.call_soon(attempt.fail, Outcome.FULL)
@@ -378,6 +395,7 @@
         finally:
             self.connecting -= 1
         self.links.add(link)
+        self.owner.counts.opened += 1
         if link.transport is None or link.transport.is_closing():
             self.forget(link)
             attempt.fail(Outcome.CONNECT_FAILED)
@@ -388,10 +406,10 @@
 
     def put(self, link: Link) -> None:
         if self.owner.pools.get(self.name) is not self:
-            link.abort()  # the backend has moved or is gone
+            link.end("moved")  # the backend has, or is gone
             return
         if self.owner.open > self.owner.most_open:
-            link.abort()  # there may be fewer by now
+            link.end("limit")  # there may be fewer by now
             return
         link.idle_since = time.monotonic()
         self.idle.append(link)
@@ -403,19 +421,24 @@
         if link in self.idle:
             self.idle.remove(link)
 
-    def close_idle(self) -> None:
+    def close_idle(self, why: str) -> None:
         idle, self.idle = self.idle, deque()
         for link in idle:
-            link.abort()
+            link.end(why)
 
 
 class Upstream:
     """All backends that discovery has named."""
 
     def __init__(
-        self, connect_timeout: float, conn_idle: float, columns: tuple[str, ...], most_open: int
+        self,
+        connect_timeout: float,
+        conn_idle: float,
+        columns: tuple[str, ...],
+        most_open: int,
+        counts: Counts,
     ) -> None:
-        self.most_open = most_open
+        self.most_open, self.counts = most_open, counts
         self.retune(connect_timeout, conn_idle, columns)
         self.loop = asyncio.get_running_loop()
         self.pools: dict[int, Pool] = {}
@@ -438,7 +461,7 @@
 
     def remove(self, backend: int) -> None:
         if (pool := self.pools.pop(backend, None)) is not None:
-            pool.close_idle()
+            pool.close_idle("moved")
 
     def start(self, backend: int, timeout: float, attempt: Attempt) -> None:
         pool = self.pools.get(backend)
@@ -458,6 +481,7 @@
         path = b"/-/load" if self.columns else b"/-/healthy"
 
         def heard(result: Result) -> None:
+            self.counts.probes[result.outcome.name.lower()] += 1
             if result.outcome is Outcome.OK and not result.report:
                 result.report = self.report(result.body)
             done(result)
@@ -483,7 +507,7 @@
 
     def close_idle(self, backend: int) -> None:
         if (pool := self.pools.get(backend)) is not None:
-            pool.close_idle()
+            pool.close_idle("by_decision")
 
     def make_room(self) -> bool:
         """Whether a connection may be opened; the one that has stood idle longest makes room for it."""
@@ -493,7 +517,7 @@
         idle = [pool for pool in self.pools.values() if pool.idle]
         if not idle:
             return False
-        min(idle, key=lambda pool: pool.idle[0].idle_since).idle.popleft().abort()
+        min(idle, key=lambda pool: pool.idle[0].idle_since).idle.popleft().end("room")
         return True
 
     def limit(self, most_open: int) -> None:
@@ -510,7 +534,7 @@
             for link in list(pool.links):
                 link.look(time.monotonic() - STALLED)
             while pool.idle and pool.idle[0].idle_since < before:
-                pool.idle.popleft().abort()
+                pool.idle.popleft().end("idle")
         self.timer = self.loop.call_later(SWEEP, self.sweep)
 
     def close(self) -> None:
@@ -519,4 +543,4 @@
             task.cancel()
         for pool in self.pools.values():
             for link in pool.links:
-                link.abort()
+                link.end("end")
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -10,6 +10,7 @@
 from ivymux import counter as counter_module
 from ivymux.config import parse_address
 from ivymux.counter import DEAD_AFTER, LINES, MOST_PENDING, Counter
+from ivymux.metrics import Counts
 from orchidhill.interface import Count, Counted, Outcome
 
 from .sockets import Tally, listening, run, until
@@ -17,7 +18,7 @@
 
 def start(dial: str, timeout: float = 0.08) -> tuple[Counter, list[Counted]]:
     heard: list[Counted] = []
-    return Counter(parse_address(dial), timeout, heard.append), heard
+    return Counter(parse_address(dial), timeout, heard.append, Counts()), heard
 
 
 def test_calls_go_out_pipelined_and_their_answers_come_in_order() -> None:
