Move the connections to one alert server into ivymux/pool.py, unchanged

Need: pools are to be worked on; upstream keeps attempts, answers and probes. The one difference is that a pool is handed what makes a connection, as the two modules must not import each other.

--- /dev/null
+++ b/ivymux/pool.py
@@ -0,0 +1,91 @@
+"""Connections to one alert server: which are open, which stand idle, and which one an attempt gets."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from ivymux.config import Address
+from orchidhill.interface import Outcome
+
+if TYPE_CHECKING:
+    from ivymux.upstream import Attempt, Link, Upstream
+
+PER_BACKEND = 128  # connections to one backend
+
+
+class Pool:
+    """The connections to one backend."""
+
+    def __init__(
+        self, owner: Upstream, name: int, address: Address, started: float, make: Callable[[Pool], Link]
+    ) -> None:
+        self.owner, self.name, self.address, self.started, self.make = owner, name, address, started, make
+        self.idle: deque[Link] = deque()  # the newest last; it is used first
+        self.links: set[Link] = set()
+        self.connecting = 0
+
+    def start(self, attempt: Attempt) -> None:
+        while self.idle:
+            link = self.idle.pop()
+            if link.transport is not None and not link.transport.is_closing():
+                self.owner.counts.reused += 1
+                link.carry(attempt)
+                return
+            self.owner.counts.stale += 1
+        if self.connecting + len(self.links) >= PER_BACKEND or not self.owner.make_room():
+            # Nothing was sent.  Not a failed connection: the backend is not to blame.
+            self.owner.loop.call_soon(attempt.fail, Outcome.FULL)
+            return
+        self.connecting += 1
+        self.owner.open += 1
+        task = self.owner.loop.create_task(self.connect(attempt))
+        self.owner.tasks.add(task)
+        task.add_done_callback(self.owner.tasks.discard)
+
+    async def connect(self, attempt: Attempt) -> None:
+        try:
+            async with asyncio.timeout(self.owner.connect_timeout):
+                _, link = await self.owner.loop.create_connection(
+                    lambda: self.make(self), self.address.host, self.address.port
+                )
+        except (OSError, TimeoutError):
+            self.owner.open -= 1
+            attempt.fail(Outcome.CONNECT_FAILED)
+            return
+        finally:
+            self.connecting -= 1
+        self.links.add(link)
+        self.owner.counts.opened += 1
+        if link.transport is None or link.transport.is_closing():
+            self.forget(link)
+            attempt.fail(Outcome.CONNECT_FAILED)
+        elif attempt.over:  # given up meanwhile; the connection is paid for
+            self.put(link)
+        else:
+            link.carry(attempt)
+
+    def put(self, link: Link) -> None:
+        if self.owner.pools.get(self.name) is not self:
+            link.end("moved")  # the backend has, or is gone
+            return
+        if self.owner.open > self.owner.most_open:
+            link.end("limit")  # there may be fewer by now
+            return
+        link.idle_since = time.monotonic()
+        self.idle.append(link)
+
+    def forget(self, link: Link) -> None:
+        if link in self.links:
+            self.links.remove(link)
+            self.owner.open -= 1
+        if link in self.idle:
+            self.idle.remove(link)
+
+    def close_idle(self, why: str) -> None:
+        idle, self.idle = self.idle, deque()
+        for link in idle:
+            link.end(why)
--- a/ivymux/upstream.py
+++ b/ivymux/upstream.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import time
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol, cast
@@ -14,6 +13,7 @@
 
 from ivymux.config import Address
 from ivymux.metrics import Counts
+from ivymux.pool import Pool
 from orchidhill.interface import Outcome
 
 SMALL = 64 * 1024  # bytes of a body that are held whole; a larger one is passed on as it comes
@@ -21,7 +21,6 @@
 EAGER_AFTER = 0.1  # seconds after its head from which on it is, however little has come
 STALLED = 20.0  # seconds without a byte, or without room for one, that end a body on its way
 MOST_HEAD = 16 * 1024
-PER_BACKEND = 128  # connections to one backend
 IDLE_PART = 0.5  # of the backend's idle time, after which an idle connection is retired here
 SWEEP = 1.0  # seconds between looks for such connections
 
@@ -355,78 +354,6 @@
             self.pool.owner.loop.call_soon(attempt.fail, outcome)
 
 
-class Pool:
-    """The connections to one backend."""
-
-    def __init__(self, owner: Upstream, name: int, address: Address, started: float) -> None:
-        self.owner, self.name, self.address, self.started = owner, name, address, started
-        self.idle: deque[Link] = deque()  # the newest last; it is used first
-        self.links: set[Link] = set()
-        self.connecting = 0
-
-    def start(self, attempt: Attempt) -> None:
-        while self.idle:
-            link = self.idle.pop()
-            if link.transport is not None and not link.transport.is_closing():
-                self.owner.counts.reused += 1
-                link.carry(attempt)
-                return
-            self.owner.counts.stale += 1
-        if self.connecting + len(self.links) >= PER_BACKEND or not self.owner.make_room():
-            # Nothing was sent.  Not a failed connection: the backend is not to blame.
-            self.owner.loop.call_soon(attempt.fail, Outcome.FULL)
-            return
-        self.connecting += 1
-        self.owner.open += 1
-        task = self.owner.loop.create_task(self.connect(attempt))
-        self.owner.tasks.add(task)
-        task.add_done_callback(self.owner.tasks.discard)
-
-    async def connect(self, attempt: Attempt) -> None:
-        try:
-            async with asyncio.timeout(self.owner.connect_timeout):
-                _, link = await self.owner.loop.create_connection(
-                    lambda: Link(self), self.address.host, self.address.port
-                )
-        except (OSError, TimeoutError):
-            self.owner.open -= 1
-            attempt.fail(Outcome.CONNECT_FAILED)
-            return
-        finally:
-            self.connecting -= 1
-        self.links.add(link)
-        self.owner.counts.opened += 1
-        if link.transport is None or link.transport.is_closing():
-            self.forget(link)
-            attempt.fail(Outcome.CONNECT_FAILED)
-        elif attempt.over:  # given up meanwhile; the connection is paid for
-            self.put(link)
-        else:
-            link.carry(attempt)
-
-    def put(self, link: Link) -> None:
-        if self.owner.pools.get(self.name) is not self:
-            link.end("moved")  # the backend has, or is gone
-            return
-        if self.owner.open > self.owner.most_open:
-            link.end("limit")  # there may be fewer by now
-            return
-        link.idle_since = time.monotonic()
-        self.idle.append(link)
-
-    def forget(self, link: Link) -> None:
-        if link in self.links:
-            self.links.remove(link)
-            self.owner.open -= 1
-        if link in self.idle:
-            self.idle.remove(link)
-
-    def close_idle(self, why: str) -> None:
-        idle, self.idle = self.idle, deque()
-        for link in idle:
-            link.end(why)
-
-
 class Upstream:
     """All backends that discovery has named."""
 
@@ -457,7 +384,7 @@
         pool = self.pools.get(backend)
         if pool is None or (pool.address, pool.started) != (address, started):
             self.remove(backend)
-            self.pools[backend] = Pool(self, backend, address, started)
+            self.pools[backend] = Pool(self, backend, address, started, Link)
 
     def remove(self, backend: int) -> None:
         if (pool := self.pools.pop(backend, None)) is not None:
