Age connections out with a spread, and end those that a silent cut makes suspect

Need: half of the idle time to the second let doors that opened together retire together; and after a machine vanished without a word each idle connection to it held one more request to its time-out.

Change: each connection draws 0.875 to 1.125 of that time. An attempt that timed out without a byte ends the idle connections to its server that brought nothing since it was written; none is opened for it.

--- a/ivymux/pool.py
+++ b/ivymux/pool.py
@@ -85,6 +85,20 @@
         if link in self.idle:
             self.idle.remove(link)
 
+    def retire(self, now: float, keep_idle: float) -> None:
+        """End what has stood idle for long, well before the server does."""
+        for link in [link for link in self.idle if now - link.idle_since > link.age_part * keep_idle]:
+            self.idle.remove(link)
+            link.end("idle")
+
+    def suspect(self, since: float) -> None:
+        """Nothing came on a connection since then: the machine behind it may be gone without a word.  Those
+        that stand idle and have brought nothing since either are not ridden on; one opened anew proves more.
+        """
+        for link in [link for link in self.idle if max(link.heard_at, link.idle_since) < since]:
+            self.idle.remove(link)
+            link.end("suspect")
+
     def close_idle(self, why: str) -> None:
         idle, self.idle = self.idle, deque()
         for link in idle:
--- a/ivymux/upstream.py
+++ b/ivymux/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -22,6 +23,7 @@
 STALLED = 20.0  # seconds without a byte, or without room for one, that end a body on its way
 MOST_HEAD = 16 * 1024
 IDLE_PART = 0.5  # of the backend's idle time, after which an idle connection is retired here
+SPREAD = 0.25  # of that, from the earliest to the latest: front doors must not do it in step
 SWEEP = 1.0  # seconds between looks for such connections
 
 READ = memoryview(bytearray(SMALL))  # all reads go here, one after another: none brings more at once
@@ -115,6 +117,8 @@
             self.fail(Outcome.MOOT if why is Outcome.CANCELLED else Outcome.CONNECT_FAILED)
         else:
             self.verdict = why
+            if why is Outcome.TIMEOUT and not self.link.head:
+                self.link.pool.suspect(self.link.carried_at)
             self.link.end("given_up")
 
 
@@ -126,12 +130,14 @@
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
         self.idle_since = 0.0
+        self.age_part = 1 + SPREAD * (random.random() - 0.5)  # of the idle time that it may stand
         self.unsent = False  # whether part of the request still waits in this process
         self.result: Result | None = None  # of the answer that has come whole
         self.keep = False  # whether another request may follow it on this connection
         self.surplus = False  # more has come behind it
         self.sink: Sink | None = None  # where an answer goes that is passed on as it comes
         self.paused = False  # it is not read: its client does not read either
+        self.carried_at = self.heard_at = 0.0  # when a request was last written, and a byte last came
         self.moved_at = 0.0  # when a byte last came, or was last written
         self.why = ""  # it was ended here
         self.parser = httptools.HttpResponseParser(self)
@@ -156,6 +162,7 @@
     def carry(self, attempt: Attempt) -> None:
         assert self.transport is not None
         self.attempt, attempt.link = attempt, self
+        self.carried_at = time.monotonic()
         self.transport.write(attempt.payload)
         attempt.payload = b""
         if attempt.body is not None:
@@ -201,7 +208,7 @@
             self.end("unasked_bytes")  # an answer that nobody asked for: framing is lost
             return
         self.head += count
-        self.moved_at = time.monotonic()
+        self.heard_at = self.moved_at = time.monotonic()
         try:
             self.parser.feed_data(READ[:count])
         except httptools.HttpParserUpgrade:
@@ -456,12 +463,10 @@
 
     def sweep(self) -> None:
         """Retire idle connections well before the backend does: a request that crosses its close is lost."""
-        before = time.monotonic() - self.keep_idle
         for pool in self.pools.values():
             for link in list(pool.links):
                 link.look(time.monotonic() - STALLED)
-            while pool.idle and pool.idle[0].idle_since < before:
-                pool.idle.popleft().end("idle")
+            pool.retire(time.monotonic(), self.keep_idle)
         self.timer = self.loop.call_later(SWEEP, self.sweep)
 
     def close(self) -> None:
