Let an attempt take the first connection that comes free, and bound those on their way

Need: an attempt was tied to the connection opened for it: one that hung held it to the connect time-out (250 ms here) while others came free, and a burst opened one for each attempt at once, up to 128 to a server that may have just started.

Change: attempts wait at the pool; a connection that comes free or up goes to the one that has waited longest, 16 are on their way to one server at most, one that fails costs one attempt. Nothing more is opened to a server that is gone, and nobody beyond the bound waits longer than for a connection of its own.

--- a/ivymux/pool.py
+++ b/ivymux/pool.py
@@ -15,6 +15,7 @@
     from ivymux.upstream import Attempt, Link, Upstream
 
 PER_BACKEND = 128  # connections to one backend
+MOST_CONNECTS = 16  # of these on their way at once: a server that starts must not get them all in one moment
 
 
 class Pool:
@@ -26,6 +27,7 @@
         self.owner, self.name, self.address, self.started, self.make = owner, name, address, started, make
         self.idle: deque[Link] = deque()  # the newest last; it is used first
         self.links: set[Link] = set()
+        self.waiting: deque[Attempt] = deque()  # for a connection, the oldest first
         self.connecting = 0
 
     def start(self, attempt: Attempt) -> None:
@@ -40,38 +42,74 @@
             # Nothing was sent.  Not a failed connection: the backend is not to blame.
             self.owner.loop.call_soon(attempt.fail, Outcome.FULL)
             return
+        self.waiting.append(attempt)
+        if self.connecting < MOST_CONNECTS:
+            self.open()
+        else:  # it shares those that are on their way, but waits no longer than for one of its own
+            self.owner.loop.call_later(self.owner.connect_timeout, self.late, attempt)
+
+    def open(self) -> None:
         self.connecting += 1
         self.owner.open += 1
-        task = self.owner.loop.create_task(self.connect(attempt))
+        task = self.owner.loop.create_task(self.connect())
         self.owner.tasks.add(task)
         task.add_done_callback(self.owner.tasks.discard)
 
-    async def connect(self, attempt: Attempt) -> None:
+    async def connect(self) -> None:
         try:
             async with asyncio.timeout(self.owner.connect_timeout):
                 _, link = await self.owner.loop.create_connection(
                     lambda: self.make(self), self.address.host, self.address.port
                 )
         except (OSError, TimeoutError):
+            self.connecting -= 1
             self.owner.open -= 1
-            attempt.fail(Outcome.CONNECT_FAILED)
+            self.failed()
             return
-        finally:
-            self.connecting -= 1
+        self.connecting -= 1
         self.links.add(link)
         self.owner.counts.opened += 1
         if link.transport is None or link.transport.is_closing():
             self.forget(link)
-            attempt.fail(Outcome.CONNECT_FAILED)
-        elif attempt.over:  # given up meanwhile; the connection is paid for
+            self.failed()
+        elif not self.give(link):  # given up meanwhile, or another came free first; it is paid for
             self.put(link)
-        else:
-            link.carry(attempt)
+
+    def give(self, link: Link) -> bool:
+        """The connection to the attempt that has waited longest for one, if any waits."""
+        while self.waiting:
+            attempt = self.waiting.popleft()
+            if not attempt.over:
+                link.carry(attempt)
+                return True
+        return False
+
+    def failed(self) -> None:
+        """A connection did not come up: one attempt less can have one, and the others need theirs still."""
+        self.waiting = deque(attempt for attempt in self.waiting if not attempt.over)
+        if len(self.waiting) > self.connecting:
+            self.waiting.popleft().fail(Outcome.CONNECT_FAILED)
+        current = self.owner.pools.get(self.name) is self
+        while len(self.waiting) > self.connecting:
+            if self.connecting >= MOST_CONNECTS:
+                return
+            if current and self.owner.make_room():
+                self.open()
+            else:
+                self.waiting.popleft().fail(Outcome.CONNECT_FAILED)
+
+    def late(self, attempt: Attempt) -> None:
+        if attempt in self.waiting:
+            self.waiting.remove(attempt)
+            attempt.fail(Outcome.CONNECT_FAILED)
 
     def put(self, link: Link) -> None:
         if self.owner.pools.get(self.name) is not self:
             link.end("moved")  # the backend has, or is gone
             return
+        if self.give(link):
+            self.owner.counts.reused += 1
+            return
         if self.owner.open > self.owner.most_open:
             link.end("limit")  # there may be fewer by now
             return
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -143,12 +143,15 @@
 def test_an_idle_server_connection() -> None:
     async def test() -> None:
         async with listening(Backend().handle) as dial, upstream(dial) as (made, pool):
-            results = [start(made) for _ in range(20)]  # what comes with the first is not counted
-            await until(lambda: all(results))
+            await until(start(made).copy)  # what comes with the first is not counted
             tracemalloc.start()
             before = python_bytes("ivymux")
-            results = [start(made) for _ in range(80)]
-            await until(lambda: all(results) and len(pool.idle) == 80)
+            for _ in range(60):
+                held = list(pool.idle)
+                pool.idle.clear()  # as if in use: the next one needs a connection of its own
+                await until(start(made).copy)
+                pool.idle.extend(held)
+            assert len(pool.idle) == 61
             each = (python_bytes("ivymux") - before) / 60
             tracemalloc.stop()
             assert 200 < each <= 3300
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import time
 from collections.abc import AsyncIterator
+from typing import Any
 
 import pytest
 
 from ivymux.config import parse_address
 from ivymux.metrics import Counts
-from ivymux.pool import Pool
+from ivymux.pool import MOST_CONNECTS, Pool
 from ivymux.upstream import SPREAD, Attempt, Link, Result, Upstream
 from orchidhill.interface import Outcome
 
@@ -118,3 +120,114 @@
             assert (made.counts.opened, made.counts.reused) == (3, 5)
 
     run(test())
+
+
+class Slow:
+    """A loop whose connections come up, or fail, when a test says so."""
+
+    def __init__(self, made: Upstream) -> None:
+        self.inner = made.loop
+        made.loop = self  # type: ignore[assignment]
+        self.pending: list[asyncio.Future[None]] = []
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.inner, name)
+
+    async def create_connection(self, make: Any, host: str, port: int) -> Any:
+        self.pending.append(self.inner.create_future())
+        await self.pending[-1]
+        return await self.inner.create_connection(make, host, port)
+
+
+def test_an_attempt_whose_connection_hangs_rides_on_one_that_comes_free() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with listening(backend.handle) as dial, upstream(dial) as (made, pool):
+            await until(start(made).copy)
+            slow = Slow(made)
+            first, second = start(made), start(made)  # one rides at once, the other's connection hangs
+            await until(lambda: slow.pending)
+            await until(lambda: first and second)
+            assert [r[0].outcome for r in (first, second)] == [Outcome.OK] * 2
+            assert (pool.connecting, backend.opened) == (1, 1) and not pool.waiting
+            slow.pending[0].set_result(None)
+            await until(lambda: len(pool.idle) == 2)  # it is paid for
+            assert pool.connecting == 0 and made.open == 2
+
+    run(test())
+
+
+def test_connections_on_their_way_to_one_server_are_bounded_and_shared() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with listening(backend.handle) as dial, upstream(dial) as (made, pool):
+            slow = Slow(made)
+            made.connect_timeout = 10.0
+            results = [start(made) for _ in range(MOST_CONNECTS + 10)]
+            await until(lambda: len(slow.pending) == MOST_CONNECTS)
+            assert (pool.connecting, made.open) == (MOST_CONNECTS, MOST_CONNECTS)
+            slow.pending[0].set_result(None)  # one that comes up serves many
+            await until(lambda: sum(map(len, results)) == MOST_CONNECTS + 10)
+            assert {r[0].outcome for r in results} == {Outcome.OK} and backend.opened == 1
+            assert len(slow.pending) == MOST_CONNECTS
+
+    run(test())
+
+
+def test_a_connection_that_fails_costs_one_attempt_and_the_others_get_theirs() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with listening(backend.handle) as dial, upstream(dial) as (made, pool):
+            slow = Slow(made)
+            made.connect_timeout = 10.0
+            results = [start(made) for _ in range(MOST_CONNECTS + 2)]
+            await until(lambda: len(slow.pending) == MOST_CONNECTS)
+            slow.pending[0].set_exception(ConnectionRefusedError())
+            await until(lambda: results[0])  # the one that has waited longest
+            assert results[0][0].outcome is Outcome.CONNECT_FAILED
+            await until(lambda: len(slow.pending) == MOST_CONNECTS + 1)  # in its place
+            assert sum(map(len, results)) == 1
+            made.remove(1)  # gone: nothing new goes there
+            for future in slow.pending[1:]:
+                future.set_exception(ConnectionRefusedError())
+            await until(lambda: all(results))
+            assert {r[0].outcome for r in results} == {Outcome.CONNECT_FAILED}
+            assert (pool.connecting, made.open, len(slow.pending)) == (0, 0, MOST_CONNECTS + 1)
+
+    run(test())
+
+
+def test_an_attempt_beyond_the_bound_waits_no_longer_than_for_a_connection_of_its_own() -> None:
+    async def test() -> None:
+        async with listening(Backend().handle) as dial, upstream(dial) as (made, pool):
+            slow = Slow(made)
+            made.connect_timeout = 10.0
+            for _ in range(MOST_CONNECTS):
+                start(made)
+            await until(lambda: len(slow.pending) == MOST_CONNECTS)
+            made.connect_timeout = 0.01
+            last = start(made)
+            await until(lambda: last)
+            assert last[0].outcome is Outcome.CONNECT_FAILED and len(pool.waiting) == MOST_CONNECTS
+
+    run(test())
+
+
+def test_an_attempt_given_up_while_it_waits_leaves_its_connection_to_others() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with listening(backend.handle) as dial, upstream(dial) as (made, pool):
+            slow = Slow(made)
+            made.connect_timeout = 10.0
+            start(made)
+            pool.waiting[0].give_up(Outcome.TIMEOUT)
+            other = start(made)
+            await until(lambda: len(slow.pending) == 2)
+            slow.pending[1].set_exception(ConnectionRefusedError())
+            await until(lambda: pool.connecting == 1)
+            assert not other  # the other connection is for it now
+            slow.pending[0].set_result(None)
+            await until(lambda: other)
+            assert other[0].outcome is Outcome.OK and backend.opened == 1
+
+    run(test())
