Bound a configuration that is put to 256 KiB, and a comparison to 200 lines

Cause: a put is checked on a thread, but json's C parser keeps the interpreter to itself: bodies near 1 MiB (flat numbers, objects, many keys) held the loop for up to 171 ms, and a comparison with a value of 1 MB answered as much.

Measured on one machine, the caller in the same process: bodies of 250 kB made to be slow hold it for 12 to 35 ms as a put and 20 to 62 ms as a comparison; one with 1,700 servers for 7 and 16 ms. A real one, 28 kB with 200 servers, is checked in 0.7 ms.

--- a/ivymux/config.py
+++ b/ivymux/config.py
@@ -17,6 +17,7 @@
 MOST_CONFIG = 4 << 20  # bytes of a configuration; a list of backends may be as long as a line of discovery's
 MOST_LISTED = 256  # classes or tariffs
 SHOWN = 3  # problems named in one line
+MOST_CHANGES = 200  # lines of a comparison
 REREADS = 5  # of a file that is replaced while it is read
 FIXED = ("name", "listen", "seed")  # hold from a start to its end
 
@@ -351,9 +352,10 @@
         return dict(flatten({key: value for key, value in raw.items() if key != "known"}))
 
     old, new = values(before), values(after)
+    differing = sorted(key for key in old.keys() | new.keys() if old.get(key) != new.get(key))
     lines = []
-    for key in sorted(old.keys() | new.keys()):
-        if old.get(key) != new.get(key):
-            restart = " (needs a restart)" if key in FIXED else ""
-            lines.append(f"{key}: {old.get(key, 'absent')} -> {new.get(key, 'absent')}{restart}")
-    return lines
+    for key in differing[:MOST_CHANGES]:
+        was, now = old.get(key, "absent")[:80], new.get(key, "absent")[:80]
+        lines.append(one_line(f"{key}: {was} -> {now}{' (needs a restart)' if key in FIXED else ''}"))
+    more = len(differing) - MOST_CHANGES
+    return lines if more <= 0 else [*lines, f"and {more} more"]
--- a/ivymux/management.py
+++ b/ivymux/management.py
@@ -23,8 +23,8 @@
 
 MOST_CALLERS = 24  # connections held at once; beyond it the oldest gives way to the newest
 MOST_BYTES = 8 * 1024  # of a call
-MOST_CONFIGURATION = 1 << 20  # bytes of a configuration that is put
-MOST_HELD = 2 << 20  # bytes of these in all
+MOST_CONFIGURATION = 256 << 10  # bytes of a configuration that is put: its parser holds up all else
+MOST_HELD = 1 << 20  # bytes of these in all
 CALL_TIMEOUT = 2.2  # seconds for a call to come whole
 LINGER = 1.0  # seconds that a caller has to read its answer
 BACKLOG = 256
--- a/tests/test_generations.py
+++ b/tests/test_generations.py
@@ -261,6 +261,9 @@
             raw = json.loads(shown.body)
             lines = (await exchange(door, "PUT", "/_configuration/diff", json.dumps(attempts(raw, 2)))).body
             assert lines == b"settings.caps.max_attempts: 4 -> 2\n"
+            many = raw | {"other": {f"k{n}": "x" * 1000 for n in range(210)}}
+            lines = (await exchange(door, "PUT", "/_configuration/diff", json.dumps(many))).body
+            assert lines.count(b"\n") == 201 and lines.endswith(b"and 10 more\n") and len(lines) < 40_000
             renamed = json.dumps(raw | {"name": "n9"})
             lines = (await exchange(door, "PUT", "/_configuration/diff", renamed)).body
             assert lines == b"name: n0 -> n9 (needs a restart)\n"
