Test a put across SIGKILL and SIGTERM of real processes

Need: the hand-over of a confirm time and the refusal of a put by a process that ends were tested within one process. SIGKILL with a put to be confirmed, then a start on the same folder: running, confirm time and rollback are there. SIGTERM with a put that lacks its last byte: nothing is taken, nothing is on file.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -196,3 +196,57 @@
     assert (config.passed, config.shared, config.management) == (4, tmp_path, Address("127.0.0.1", 7))
     config = parse(json.dumps(raw), {"NODE_MANAGEMENT": "127.0.0.1:8"})
     assert (config.passed, config.shared, config.management) == (None, None, Address("127.0.0.1", 8))
+
+
+def put(raw: dict[str, object], query: str = "") -> bytes:
+    body = json.dumps(raw).encode()
+    return b"PUT /_configuration%s HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s" % (
+        query.encode(),
+        len(body),
+        body,
+    )
+
+
+def test_a_put_and_its_confirm_time_outlive_the_process_that_took_it(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with platform(tmp_path) as (path, listener, _):
+            async with program(path, listener) as old:
+                changed = json.loads(path.read_text())
+                changed["settings"]["caps"]["max_attempts"] = 2
+                assert (await old.call(put(changed, "?confirm=600"))).status == 200
+                old.process.kill()  # SIGKILL: nothing is tidied up
+                await old.process.wait()
+            async with program(path, listener) as new:
+                history = json.loads((await new.call(b"GET /_configuration/history HTTP/1.1\r\n\r\n")).body)
+                assert history["running"] == 2 and history["confirm"]["back_to"] == 1
+                running = await new.call(b"GET /_configuration HTTP/1.1\r\n\r\n")
+                assert json.loads(running.body) == changed
+                back = await new.call(b"PUT /_configuration/rollback HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+                assert back.status == 200
+                running = await new.call(b"GET /_configuration HTTP/1.1\r\n\r\n")
+                assert json.loads(running.body) == json.loads(path.read_text())
+                assert await ask(listener, 1) == 200
+
+    run(test())
+
+
+def test_a_put_that_sigterm_finds_unfinished_is_not_taken(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with platform(tmp_path) as (path, listener, _), program(path, listener) as old:
+            changed = json.loads(path.read_text())
+            changed["settings"]["caps"]["max_attempts"] = 2
+            text = put(changed)
+            reader, writer = await asyncio.open_connection("127.0.0.1", old.port)
+            writer.write(text[:-1])  # all but its last byte
+            old.process.send_signal(signal.SIGTERM)
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                while (await old.call(b"GET /_ready HTTP/1.1\r\n\r\n")).status == 200:
+                    await asyncio.sleep(0.01)
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):  # it may have ended by now
+                writer.write(text[-1:])
+                assert (await read_message(reader)).status in (503, 408)
+            await old.process.wait()
+            writer.close()
+            assert not (tmp_path / "ivymux" / "generations").exists()
+
+    run(test())
