Move wiring to frontdoor.py and a connection to link.py, behaviour unchanged

Need: __main__ held start, signals and 290 lines of wiring; pool and upstream imported each other, hidden behind TYPE_CHECKING. Change: FrontDoor stands in ivymux/frontdoor.py, Attempt and Link in ivymux/link.py; link, pool and upstream now import in one direction, each saying by a Protocol what it asks of its owner. No line of their bodies changed.

--- a/ivymux/host.py
+++ b/ivymux/host.py
@@ -13,8 +13,9 @@
 
 from ivymux.config import Address
 from ivymux.counter import Counter
+from ivymux.link import Attempt, Body, Flow, Result, Sink
 from ivymux.metrics import Counts
-from ivymux.upstream import Attempt, Body, Flow, Result, Sink, Upstream
+from ivymux.upstream import Upstream
 from orchidhill import interface as i
 from orchidhill.gateway import Gateway
 from orchidhill.interface import Outcome, State
--- a/ivymux/pool.py
+++ b/ivymux/pool.py
@@ -5,24 +5,37 @@
 import asyncio
 import time
 from collections import deque
-from collections.abc import Callable
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Mapping
+from typing import Protocol
 
 from ivymux.config import Address
+from ivymux.link import Attempt, Link
+from ivymux.link import Owner as Connected
 from orchidhill.interface import Outcome
 
-if TYPE_CHECKING:
-    from ivymux.upstream import Attempt, Link, Upstream
-
 PER_BACKEND = 128  # connections to one backend
 MOST_CONNECTS = 16  # of these on their way at once: a server that starts must not get them all in one moment
 
 
+class Owner(Connected, Protocol):
+    """Who owns the pools, as one of them sees it."""
+
+    open: int
+    most_open: int
+    connect_timeout: float
+    tasks: set[asyncio.Task[None]]
+
+    @property
+    def pools(self) -> Mapping[int, Pool]: ...
+
+    def make_room(self) -> bool: ...
+
+
 class Pool:
     """The connections to one backend."""
 
     def __init__(
-        self, owner: Upstream, name: int, address: Address, started: float, make: Callable[[Pool], Link]
+        self, owner: Owner, name: int, address: Address, started: float, make: Callable[[Pool], Link]
     ) -> None:
         self.owner, self.name, self.address, self.started, self.make = owner, name, address, started, make
         self.idle: deque[Link] = deque()  # the newest last; it is used first
--- a/ivymux/server.py
+++ b/ivymux/server.py
@@ -15,7 +15,8 @@
 
 from ivymux.config import Config
 from ivymux.host import Answer, Host, Open
-from ivymux.upstream import READ, SMALL, STALLED, Flow, Link
+from ivymux.link import READ, SMALL, Flow, Link
+from ivymux.upstream import STALLED
 from orchidhill import interface as i
 from orchidhill.interface import Effect
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -9,9 +9,10 @@
 
 import pytest
 
-from ivymux import upstream
+from ivymux import link
+from ivymux.link import SMALL
 from ivymux.server import BODY_GRACE, HEAD_TIMEOUT, REPLAY
-from ivymux.upstream import SMALL, STALLED
+from ivymux.upstream import STALLED
 from orchidhill import interface as i
 from orchidhill.interface import Outcome
 
@@ -89,7 +90,7 @@
 
 
 def test_a_small_answer_of_every_form_is_held_whole(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(upstream, "EAGER_AFTER", 60.0)  # however slow this machine is
+    monkeypatch.setattr(link, "EAGER_AFTER", 60.0)  # however slow this machine is
     forms = [HEAD + b"\r\nsmall", CHUNKS + chunked(b"small", 2), http_answer(body=b"small")]
     forms.append(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + forms[1])
 
@@ -111,7 +112,7 @@
 def test_an_answer_of_unknown_length_that_is_slow_is_passed_on_before_it_is_large(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(upstream, "EAGER_AFTER", -1.0)
+    monkeypatch.setattr(link, "EAGER_AFTER", -1.0)
 
     async def test() -> None:
         gate = asyncio.Event()
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -19,8 +19,8 @@
 
 import pytest
 
-from ivymux.__main__ import FrontDoor
 from ivymux.config import parse
+from ivymux.frontdoor import FrontDoor
 from orchidhill import interface as i
 
 from .helpers import START, Counter, done, gateway, play, request, sends
@@ -64,8 +64,8 @@
 
 def test_one_request_on_kept_connections(monkeypatch: pytest.MonkeyPatch) -> None:
     from ivymux.host import Host
+    from ivymux.link import Link
     from ivymux.server import Client as ClientLink
-    from ivymux.upstream import Link
 
     async def test() -> None:
         calls = Calls(monkeypatch)  # before the loop keeps the methods of a connection
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -13,9 +13,9 @@
 import pytest
 
 from ivymux import server
-from ivymux.__main__ import OTHER_SOCKETS, FrontDoor
+from ivymux.frontdoor import OTHER_SOCKETS, FrontDoor
+from ivymux.link import SMALL
 from ivymux.server import HEAD_TIMEOUT, IDLE_TIMEOUT, MOST_BODY, MOST_HEAD, MOST_PIPELINED, SWEEP
-from ivymux.upstream import SMALL
 from orchidhill import interface as i
 from orchidhill.gateway import mix
 from orchidhill.interface import Outcome
--- a/tests/test_generations.py
+++ b/tests/test_generations.py
@@ -21,8 +21,9 @@
 from hypothesis import strategies as st
 
 from ivymux import generations as module
-from ivymux.__main__ import FrontDoor, main
+from ivymux.__main__ import main
 from ivymux.config import Address, Config, ConfigError, check, parse
+from ivymux.frontdoor import FrontDoor
 from ivymux.generations import HISTORY, Refused, Step, inherit, read_kept
 from ivymux.management import MOST_CONFIGURATION
 
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -11,8 +11,8 @@
 
 import pytest
 
-from ivymux.__main__ import FrontDoor
 from ivymux.config import parse
+from ivymux.frontdoor import FrontDoor
 from ivymux.management import CALL_TIMEOUT, MOST_CALLERS
 
 from .sockets import Backend, Client, Message, config_text, host_line, listening, read_message, run, until
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -13,8 +13,9 @@
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
-from ivymux.__main__ import FrontDoor, Steady
+from ivymux.__main__ import Steady
 from ivymux.config import parse
+from ivymux.frontdoor import FrontDoor
 from ivymux.metrics import LAGS, MOST_CLASSES, SAMPLE, Counts, Metrics
 
 from .sockets import (
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -13,8 +13,8 @@
 
 import pytest
 
-from ivymux.__main__ import FrontDoor
 from ivymux.config import ConfigError, lacking, load, parse
+from ivymux.frontdoor import FrontDoor
 from orchidhill import interface as i
 
 from .helpers import entry
