--- /dev/null
+++ b/fleetlab/__init__.py
@@ -0,0 +1,1 @@
+"""A fleet on one machine: the emulator, load and experiment tool.  `run` never imports it."""
--- /dev/null
+++ b/fleetlab/stands/__init__.py
@@ -0,0 +1,1 @@
+"""The models on loopback sockets.  They decide nothing that a model could."""
