--- a/fleetlab/cli.py
+++ b/fleetlab/cli.py
@@ -133,9 +133,20 @@
 
 
 def play(
-    day: Day, seed: int, what: str, door: tuple[str, ...] = (), root: str = "", quiet: bool = False
+    day: Day,
+    seed: int,
+    what: str,
+    door: tuple[str, ...] = (),
+    root: str = "",
+    quiet: bool = False,
+    signals: bool = True,
+    report: Path | None = None,
 ) -> tuple[dict[str, Any], dict[str, Any]]:
-    """Play a day; its figures, and the breaches of each rule.  Raises Halted."""
+    """Play a day; its figures, and the breaches of each rule.  Raises Halted.
+
+    `door` and `root`: another front door's command and folder; `signals`: whether SIGINT ends it early, which
+    only a main thread can have.
+    """
     from fleetlab.figures import figures
     from fleetlab.rules import Seen, judge
 
@@ -149,7 +160,7 @@
         interrupted = True
         stage.finish()
 
-    before = signal.signal(signal.SIGINT, interrupt)
+    before = signal.signal(signal.SIGINT, interrupt) if signals else None
     try:
         with View(day, what) as view:
             for said in stage.lines():
@@ -160,9 +171,17 @@
                 elif "done" in said:
                     seen = Seen.load(day, seed, Path(said["done"]))
                     breaches = judge(seen)
-                    return figures(seen, breaches, revision()), breaches
+                    found = figures(seen, breaches, revision())
+                    if report is not None:
+                        from fleetlab.report import write as write_report  # 0.5 s that no other play needs
+
+                        click.echo(
+                            f"report: {write_report(report, what, seen, found, breaches, Path(said['done']))}"
+                        )
+                    return found, breaches
     finally:
-        signal.signal(signal.SIGINT, before)
+        if signals:
+            signal.signal(signal.SIGINT, before)
         stage.close()
     raise Halted("the stage has ended")
 
@@ -265,14 +284,21 @@
 @click.option("--doors", type=click.IntRange(1, 100))
 @click.option("--servers", type=click.IntRange(1, 200))
 @click.option("--json", "path", type=click.Path(dir_okay=False, writable=True, path_type=Path))
+@click.option("--report", type=click.Path(file_okay=False, path_type=Path), help="A folder for a page.")
 def run(
-    day: str, seed: int, length: float | None, doors: int | None, servers: int | None, path: Path | None
+    day: str,
+    seed: int,
+    length: float | None,
+    doors: int | None,
+    servers: int | None,
+    path: Path | None,
+    report: Path | None,
 ) -> None:
     """Play DAY, a shipped name or a TOML file.
 
     Status 0: all rules kept; 1: a rule broken; 2: a bad file or call.
     """
-    sys.exit(run_day(day, seed, length, doors, servers, path))
+    sys.exit(run_day(day, seed, length, doors, servers, path, report))
 
 
 @lab.command()
@@ -324,11 +350,17 @@
 
 
 def run_day(
-    name: str, seed: int, length: float | None, doors: int | None, servers: int | None, path: Path | None
+    name: str,
+    seed: int,
+    length: float | None,
+    doors: int | None,
+    servers: int | None,
+    path: Path | None,
+    report: Path | None = None,
 ) -> int:
     try:
         day = load_day(name, length_s=length, doors=doors, servers=servers)
-        return settle(*play(day, seed, name), path)
+        return settle(*play(day, seed, name, report=report), path)
     except (DayError, Halted) as error:
         return halted(error)
 
--- a/fleetlab/day.py
+++ b/fleetlab/day.py
@@ -134,9 +134,6 @@
     assert isinstance(found, dict)
     path = ".".join(str(part) for part in found["loc"])
     said = str(found["msg"]).removeprefix("Value error, ")
-    value = found["input"]
-    return (
-        f"{path}: {said}: {value!r}"[:300]
-        if path and not isinstance(value, dict)
-        else ": ".join(filter(None, (path, said)))
-    )
+    if not path or isinstance(found["input"], dict):
+        return ": ".join(filter(None, (path, said)))
+    return f"{path}: {said}: {repr(found['input'])[:80]}"
--- a/fleetlab/models/alertserver.py
+++ b/fleetlab/models/alertserver.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+EPS = 1e-9  # seconds of work that rounding may leave over
 STEP = 0.1  # seconds for which the capacity of a warming server counts as constant
 UTIL_SPAN = 0.5  # seconds over which a load report averages
 
@@ -174,27 +175,25 @@
     def advance(self, now: float) -> list[object]:
         """The tokens of what has ended until now, followers included, the earliest first."""
         ended: list[object] = []
-        while self.running and self.at < now:
-            pace = self.pace(self.at)
-            if not pace:
-                break
+        while self.running:
             goal, _, item = self.running[0]
-            until = self.at + max(0.0, goal - self.attained) / pace
-            if self.at < self.started + self.spec.warm_up:
-                until = min(until, self.at + STEP)
-            step = min(now, until) - self.at
-            self.busy += step * min(1.0, len(self.running) / self.spec.cores)
-            self.at += step
-            if until <= now and self.attained + pace * step >= goal - 1e-9:
-                self.attained = max(self.attained, goal)
+            if self.attained >= goal - EPS:
                 heapq.heappop(self.running)
-                item.left = 0.0
                 ended += [item.token, *item.followers]
                 item.followers.clear()
                 if self.waiting:
                     self.run(self.waiting.popleft())
-            else:
-                self.attained += pace * step
+                continue
+            pace = self.pace(self.at)
+            if self.at >= now or not pace:
+                break
+            until = min(now, self.at + (goal - self.attained) / pace)
+            if self.at < self.started + self.spec.warm_up:
+                until = min(until, self.at + STEP)
+            step = until - self.at
+            self.busy += step * min(1.0, len(self.running) / self.spec.cores)
+            self.attained += pace * step
+            self.at = until
         self.at = max(self.at, now)
         return ended
 
