--- a/fleetlab/wrongdoor.py
+++ b/fleetlab/wrongdoor.py
@@ -122,14 +122,15 @@
         if server is None:
             return "503", b""
         try:
-            status, found = await self.ask(server, head, headers, body)
-            if self.wrong == "repeats" and head.startswith("POST"):
-                other = self.pick(but=server["block"])
-                if other is not None:
-                    await self.ask(other, head, headers, body)
-            if strike and self.wrong == "unsent":
-                await self.ask(server, head, headers | {"request-id": "0123456789abcdef"}, body)
-        except (OSError, ValueError, IndexError, asyncio.IncompleteReadError):
+            async with asyncio.timeout(int(headers["request-timeout"][:-1]) / 1e3):
+                status, found = await self.ask(server, head, headers, body)
+                if self.wrong == "repeats" and head.startswith("POST"):
+                    other = self.pick(but=server["block"])
+                    if other is not None:
+                        await self.ask(other, head, headers, body)
+                if strike and self.wrong == "unsent":
+                    await self.ask(server, head, headers | {"request-id": "0123456789abcdef"}, body)
+        except (OSError, ValueError, IndexError, asyncio.IncompleteReadError, TimeoutError):
             return "502", b""
         if strike and self.wrong == "answered":
             return None
