--- a/fleetlab/stage.py
+++ b/fleetlab/stage.py
@@ -33,6 +33,7 @@
 HEAD_START = 0.5  # seconds between the word to start and the start
 LOOK = 0.5  # seconds between looks at the front doors' processes
 STATS = 1.0
+LEAVE = 1.5  # seconds for which the old addresses of a reload keep their connections
 CALL = 1.0  # seconds in which an operator's call is due
 LAST = 3.7  # seconds from SIGTERM to SIGKILL: the longest deadline and 0.7 s
 MOST_TRIES = 3  # of a start whose port another has taken meanwhile
@@ -467,15 +468,13 @@
 
     async def leave_old(self, all_doors: bool) -> None:
         """The old addresses take no new connections, and end those they have after 1.5 s."""
-        moved = [door for door in self.doors if door.listeners]
-        old = [self.hub.servers[f"agent {door.place} 0"] for door in moved]
-        if all_doors:
-            old.append(self.hub.servers["counter 0"])
-        for server in old:
-            server.close()
-        await asyncio.sleep(1.5)
-        for server in old:
-            server.close_clients() if hasattr(server, "close_clients") else None
+        old = [f"agent {door.place} 0" for door in self.doors if door.listeners]
+        old += ["counter 0"] if all_doors else []
+        for name in old:
+            self.hub.leave(name)
+        await asyncio.sleep(LEAVE)
+        for name in old:
+            self.hub.cut_off(name)
 
     async def ban(self, happening: Happening) -> None:
         """Operators take servers out by hand at all front doors, restart them, and call them back."""
--- a/fleetlab/stands/hub.py
+++ b/fleetlab/stands/hub.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from functools import partial
 from typing import cast
+from weakref import WeakSet
 
 import hiredis
 import httptools
@@ -224,23 +225,41 @@
     def __init__(self, counter: CounterStand, agents: list[AgentStand]) -> None:
         self.counter, self.agents = counter, agents
         self.servers: dict[str, asyncio.Server] = {}
+        self.taken: dict[str, WeakSet[AgentPeer | CounterPeer]] = {}
         self.ticker: asyncio.TimerHandle | None = None
 
     async def listen(self) -> dict[str, str]:
         """The addresses by name: `counter 0`, `agent DOOR 0`, and with 1 those that a reload names."""
         loop = asyncio.get_running_loop()
         for version in (0, 1):
-            self.servers[f"counter {version}"] = await loop.create_server(
-                lambda: CounterPeer(self.counter), "127.0.0.1", 0
-            )
+            name = f"counter {version}"
+            make = partial(self.take, name, partial(CounterPeer, self.counter))
+            self.servers[name] = await loop.create_server(make, "127.0.0.1", 0)
             for agent in self.agents:
-                made = await loop.create_server(partial(AgentPeer, agent), "127.0.0.1", 0)
-                self.servers[f"agent {agent.door} {version}"] = made
+                name = f"agent {agent.door} {version}"
+                make = partial(self.take, name, partial(AgentPeer, agent))
+                self.servers[name] = await loop.create_server(make, "127.0.0.1", 0)
         self.tick()
         return {
             name: f"127.0.0.1:{server.sockets[0].getsockname()[1]}" for name, server in self.servers.items()
         }
 
+    def take(self, name: str, make: Callable[[], AgentPeer | CounterPeer]) -> AgentPeer | CounterPeer:
+        """A new connection at the address of that name."""
+        peer = make()
+        self.taken.setdefault(name, WeakSet()).add(peer)
+        return peer
+
+    def leave(self, name: str) -> None:
+        """No new connections at that address."""
+        self.servers[name].close()
+
+    def cut_off(self, name: str) -> None:
+        """The end of the connections that it has."""
+        for peer in list(self.taken.get(name, ())):
+            if peer.transport is not None:
+                peer.transport.close()
+
     def tick(self) -> None:
         for agent in self.agents:
             agent.tell()
