--- a/fleetlab/cli.py
+++ b/fleetlab/cli.py
@@ -120,12 +120,9 @@
             *(f"{per[key]:.0f}" for key in ("sent", "served", "refused", "failed")),
             f"{load['open']}", f"{load['p50'] * 1e3:.0f}", f"{load['p99'] * 1e3:.0f}", f"{counter['calls']}",
         )  # fmt: skip
-        doors = Table("front door", "clients", "operators", "processes", "generation", "connections")
+        doors = Table("front door", "clients", "operators", "processes")
         for door in said["doors"]:
-            doors.add_row(
-                door["name"], door["listen"], door["management"], str(door["processes"]),
-                str(door.get("generation", "")), str(door.get("connections", "")),
-            )  # fmt: skip
+            doors.add_row(door["name"], door["listen"], door["management"], str(door["processes"]))
         grid = Table.grid()
         grid.add_row(table)
         grid.add_row(doors)
