Write down once, and also at a watch's first answer, what a front door was told

Cause: the hub noted a told change in two places, and not what the first answer of a watch tells, so the rule on drains did not count that. Change: AgentStand.note alone does it, after each answer; a constant that nothing used goes.

--- a/fleetlab/stands/hub.py
+++ b/fleetlab/stands/hub.py
@@ -19,7 +19,6 @@
 
 BEAT = 2.0  # seconds between empty lines of a watch
 LOOK = 0.05  # seconds between looks for what an agent has been sent
-CONNECTIONS = 32  # of a front door at the counter
 IDLE = 10.0
 
 
@@ -147,12 +146,8 @@
             if peer.version is None or self.model.silent:
                 continue
             if version > peer.version:
-                changed = self.model.since(peer.version, version)
-                peer.chunk(self.line(version, False, changed) + b"\n")
-                for host in changed:
-                    self.notes.add(
-                        Note(now, f"told {host.health.value}", f"{host.name} {self.door}", host.born)
-                    )
+                peer.chunk(self.line(version, False, self.model.since(peer.version, version)) + b"\n")
+                self.note(version)
                 peer.version, peer.beat = version, now
             elif now - peer.beat >= BEAT:
                 peer.beat = now
@@ -216,6 +211,7 @@
             return
         self.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.chunk(text)
+        stand.note(version)
         self.version, self.beat = version, stand.now()
 
 
