--- a/fleetlab/stage.py
+++ b/fleetlab/stage.py
@@ -623,7 +623,6 @@
         os.waitpid(keeper, 0)
         shutil.rmtree(folder, ignore_errors=True)
         return
-    os.environ["FLEETLAB_FOLDER"] = folder
     for low in range(3, PASSED + 1):  # these stay taken, so that a child's descriptor 4 is nobody else's
         with contextlib.suppress(OSError):
             os.dup2(os.open(os.devnull, os.O_RDONLY), low, inheritable=False)
