Give the module's state to rooms: attempts, choice, quotas, pace, servers

Need: room to work in for what comes back after failures and for zones; which method writes what could not be told. No behaviour changes. Tests name the rooms that they look into.

--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -110,7 +110,7 @@
             before = await blocks(text[:REQUESTS])
             after = await blocks(text[REQUESTS:])
             assert after - before <= REQUESTS  # for 400 requests: none is kept
-            assert not made.host.table and not made.host.gateway.jobs
+            assert not made.host.table and not made.host.gateway.attempts.jobs
 
     run(test())
 
@@ -172,7 +172,7 @@
             play(made, counter, START, done(customer, send, i.Outcome.OK, closed=True))
         for one in [a for a in actions if isinstance(a, i.Refuse)]:
             assert one.request == customer
-    assert len(made.leases) == 550
+    assert len(made.quotas.leases) == 550
     each = (python_bytes("orchidhill") - before) / 500
     tracemalloc.stop()
     assert 300 < each <= 1500
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -18,8 +18,8 @@
 from ivymux.link import SMALL
 from ivymux.server import HEAD_TIMEOUT, IDLE_TIMEOUT, MOST_BODY, MOST_HEAD, MOST_PIPELINED, SWEEP, encode
 from orchidhill import interface as i
-from orchidhill.gateway import mix
 from orchidhill.interface import Outcome
+from orchidhill.policy.turn import mix
 
 from .sockets import (
     Backend,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -14,7 +14,9 @@
 from hypothesis import strategies as st
 
 from orchidhill import interface as i
-from orchidhill.gateway import FIRST_LATENCY, FORGET, TICK, Gateway, Lease, mix
+from orchidhill.gateway import Gateway
+from orchidhill.policy.records import FIRST_LATENCY, Lease
+from orchidhill.policy.turn import FORGET, TICK, mix
 from orchidhill.wire import parse_settings
 
 from .helpers import START, Counter, done, entry, gateway, play, request, sends, text
@@ -31,7 +33,7 @@
 
 
 def only_lease(made: Gateway) -> Lease:
-    (lease,) = made.leases.values()
+    (lease,) = made.quotas.leases.values()
     return lease
 
 
@@ -51,7 +53,7 @@
     for rid, (gap, who) in enumerate(steps):
         now += gap
         made = gateways[who]
-        for lease in made.leases.values():
+        for lease in made.quotas.leases.values():
             lease.size = sizes[who]
         if serve_all(made, counter, now, rid):
             store = min(8.0, store + 4.0 * (now - at)) - 1.0
@@ -77,8 +79,8 @@
     serve_all(made, counter, START, 1)
     lease = only_lease(made)
     lease.credits = 3.0
-    made.now = START + lease.length
-    made.roll(lease)
+    made.turn.now = START + lease.length
+    made.quotas.roll(lease)
     assert lease.credits == 0.0
 
 
@@ -169,28 +171,31 @@
 def test_a_backend_without_a_report_counts_as_busier_than_the_mean() -> None:
     made = gateway(caps__may_probe="true", report__how="pull", report__columns="queue,util,inflight")
     (probe,) = (a for a in made.handle(START, request(1)) if isinstance(a, i.Probe))
-    for backend in made.backends:
+    for backend in made.servers.backends:
         made.handle(START, i.Probed(backend, i.Outcome.OK, 0.01, (0.0, 0.5, 2.0)))
     made.handle(START, i.Probed(probe.backend, i.Outcome.OK, 0.01, ()))
-    silent = made.burden(made.backends[probe.backend])
-    assert all(silent > made.burden(b) - 0.5 for b in made.live) and silent > 1 + made.load
+    silent = made.servers.burden(made.servers.backends[probe.backend])
+    assert (
+        all(silent > made.servers.burden(b) - 0.5 for b in made.servers.live)
+        and silent > 1 + made.servers.load
+    )
 
 
 def test_reported_load_sheds_by_chance_before_latencies_tell() -> None:
     made = gateway(caps__may_probe="true", report__how="pull", report__columns="inflight")
-    made.out = 2  # a third of the backends' number, by one of three gateways
-    assert all(made.has_room() for _ in range(50))
+    made.servers.out = 2  # a third of the backends' number, by one of three gateways
+    assert all(made.choice.has_room() for _ in range(50))
     for _ in range(30):
         made.handle(START, i.Probed(1, i.Outcome.OK, 0.01, (40.0,)))
-    assert not any(made.has_room() for _ in range(50))
+    assert not any(made.choice.has_room() for _ in range(50))
 
 
 def test_a_strain_that_no_answer_confirms_does_not_shed_all() -> None:
     """Its latencies are as old as the last answer: with nothing out, none would ever put them right."""
     counter, made = Counter(), gateway(report__how="pull", report__columns="inflight")
-    made.took = 3.0  # of a jam that is over
+    made.servers.took = 3.0  # of a jam that is over
     made.handle(START, i.Probed(1, i.Outcome.OK, 0.01, (0.0,)))
-    assert made.strain() > 2
+    assert made.servers.strain() > 2
     assert all(serve_all(made, counter, START + rid / 5, rid, customer=rid) for rid in range(20))
 
 
@@ -210,12 +215,12 @@
 
 def test_held_credit_under_a_ceiling_lapses_with_its_window() -> None:
     counter, made = Counter(), gateway()
-    made.missed, made.room = 1.0, 0.0
-    made.backends.clear()
-    made.live.clear()
+    made.servers.missed, made.choice.room = 1.0, 0.0
+    made.servers.backends.clear()
+    made.servers.live.clear()
     play(made, counter, START, request(1, plan=1))
-    calls, (lease,) = counter.calls, made.leases.values()
-    later, made.room = START + lease.length + 0.01, 4.0
+    calls, (lease,) = counter.calls, made.quotas.leases.values()
+    later, made.choice.room = START + lease.length + 0.01, 4.0
     found = play(made, counter, later, i.Members(i.Listing.FULL, 2, (entry(1),)))
     assert counter.calls == calls + 1 and not [a for a in found if isinstance(a, i.Fail)]
 
@@ -230,7 +235,7 @@
     before = abs(lease.size - optimum)
     for _ in range(200):
         lease.served, lease.odds = 16.0, 1.0
-        made.learn(lease)
+        made.quotas.learn(lease)
     assert abs(lease.size - optimum) < min(before, 0.1)
 
 
@@ -241,20 +246,20 @@
     lease = only_lease(made)
     for _ in range(200):
         lease.served, lease.total = 16.0, 0.6 * lease.base
-        made.learn(lease)
+        made.quotas.learn(lease)
     assert math.exp(lease.size) > 2
     for _ in range(200):
         lease.served, lease.total = 16.0, lease.base
-        made.learn(lease)
+        made.quotas.learn(lease)
     assert math.exp(lease.size) < 1.5
 
 
 def test_idle_records_age_out() -> None:
     counter, made = Counter(), gateway()
     serve_all(made, counter, START, 1)
-    made.now = START + FORGET + 1
-    made.scan()
-    assert not made.leases
+    made.turn.now = START + FORGET + 1
+    made.quotas.sweep()
+    assert not made.quotas.leases
 
 
 def test_names_are_stable_and_distinct() -> None:
@@ -386,10 +391,10 @@
     for n in range(2, 50):
         gone = entry(n - 1, state=i.State.GONE)
         made.handle(START + n, i.Members(i.Listing.DELTA, n, (entry(n), gone)))
-        assert len(made.backends) <= 2
+        assert len(made.servers.backends) <= 2
     made.handle(START + 50, done(1, sent, i.Outcome.OK, closed=True))
     made.handle(START + 51, i.Members(i.Listing.DELTA, 51, ()))
-    assert set(made.backends) == {49}
+    assert set(made.servers.backends) == {49}
 
 
 def test_a_cold_backend_gets_its_share_of_the_budget_only() -> None:
@@ -444,9 +449,9 @@
     for send in sent:  # all that hangs on backend 1 stays out
         if send.backend == 2:
             made.handle(START + 0.1, done(send.request, send, i.Outcome.OK, closed=True))
-    made.now = START + 1.5
-    hanging = len(made.backends[1].out)
-    assert hanging >= 1 and made.has_room()
+    made.turn.now = START + 1.5
+    hanging = len(made.servers.backends[1].out)
+    assert hanging >= 1 and made.choice.has_room()
     assert {s.backend for s in sends(made.handle(START + 1.5, request(99)))} == {2}
 
 
@@ -454,11 +459,11 @@
     made = gateway([entry(1), entry(2)], tariffs__0__quota_rate="0")
     (sent,) = sends(made.handle(START, request(1)))
     made.handle(START + 0.25, done(1, sent, i.Outcome.CONNECT_FAILED))
-    backend = made.backends[sent.backend]
-    at_once = made.expected(backend)
-    made.now = START + 30
-    assert at_once > 5 * made.latency and made.expected(backend) < 1.1 * made.latency
-    assert made.room == pytest.approx(12 / 3)
+    backend = made.servers.backends[sent.backend]
+    at_once = made.servers.expected(backend)
+    made.turn.now = START + 30
+    assert at_once > 5 * made.servers.latency and made.servers.expected(backend) < 1.1 * made.servers.latency
+    assert made.choice.room == pytest.approx(12 / 3)
 
 
 def test_calls_are_paced_down_while_the_counter_fails_and_up_again() -> None:
@@ -466,12 +471,12 @@
     counter.outcome = i.Outcome.TIMEOUT
     for rid in range(200):
         serve_all(made, counter, START + rid / 50, rid, customer=rid)
-    low = made.pace
+    low = made.pace.pace
     assert low <= 20 and counter.calls < 150
     counter.outcome = i.Outcome.OK
     for rid in range(200):
         serve_all(made, counter, START + 4 + rid / 50, 1000 + rid, customer=1000 + rid)
-    assert made.pace > 2 * low
+    assert made.pace.pace > 2 * low
 
 
 def test_calls_that_break_off_early_leave_the_pace() -> None:
@@ -482,16 +487,16 @@
             if isinstance(call, i.Count):
                 outcome = i.Outcome.TIMEOUT if rid % 4 == 0 else i.Outcome.OK
                 made.handle(START + rid / 50, i.Counted(call.name, outcome, call.amount, 0.001))
-    assert made.pace >= gateway().pace
+    assert made.pace.pace >= gateway().pace.pace
 
 
 def test_a_pace_that_leaves_calls_out_comes_up_again() -> None:
     """Those within their local share spare the calls: the pace never binds and is too low all the same."""
     counter, made = Counter(), gateway()
-    made.pace = made.steady = 20.0
+    made.pace.pace = made.pace.steady = 20.0
     for rid in range(1500):
         serve_all(made, counter, START + rid / 150, rid, customer=rid)
-    assert made.pace > 60
+    assert made.pace.pace > 60
 
 
 # --- same events, same actions ---
@@ -536,9 +541,9 @@
     for _ in range(30):
         made.handle(START, i.Probed(1, i.Outcome.OK, 0.01, (40.0,)))
     made.handle(START, request(1))
-    assert not made.fits(only_lease(made), 1.0)
-    made.failing = 1.0
-    assert made.fits(only_lease(made), 1.0)
+    assert not made.quotas.fits(only_lease(made), 1.0)
+    made.pace.failing = 1.0
+    assert made.quotas.fits(only_lease(made), 1.0)
 
 
 def test_a_cap_is_shared_by_what_it_holds_in_a_latency() -> None:
@@ -560,10 +565,10 @@
     """It still answers the other classes, so its last answer says nothing of this one."""
     made = gateway([entry(1), entry(2)], tariffs__0__quota_rate="0")
     (sent,) = sends(made.handle(START, request(1)))
-    silent = made.backends[sent.backend]
+    silent = made.servers.backends[sent.backend]
     made.handle(START + 1.0, i.Fired(1))
     silent.answered = silent.seen = START + 1.0
-    made.now = START + 1.0
+    made.turn.now = START + 1.0
     assert set(silent.silent) == {"class-0"}
     (again,) = sends(made.handle(START + 1.5, request(2)))
     assert again.backend != sent.backend
@@ -609,7 +614,7 @@
     made, counter = gateway((entry(1), entry(2), entry(3))), Counter()
     made.handle(START, i.Detached(1))
     made.handle(START + 5, i.Attached(1, START + 5))
-    assert made.warmth(made.backends[1]) == pytest.approx(0.2)  # the cold share
+    assert made.servers.warmth(made.servers.backends[1]) == pytest.approx(0.2)  # the cold share
     at, used = START + 5, []
     for rid in range(1, 40):
         at += 0.1
@@ -625,9 +630,9 @@
     (send,) = sends(play(made, counter, START, request(1)))
     made.handle(START, i.Detached(1))
     assert not [a for a in made.handle(START + 0.1, done(1, send, i.Outcome.OK, closed=True)) if sends([a])]
-    assert made.out == 0 and not made.jobs
+    assert made.servers.out == 0 and not made.attempts.jobs
     made.handle(START + 1, i.Attached(1, START + 1))
-    assert made.out == 0
+    assert made.servers.out == 0
 
 
 # --- large bodies ---------------------------------------------------------------------------------------
@@ -641,11 +646,17 @@
     made, counter = gateway(), Counter()
     (send,) = sends(play(made, counter, START, streamed(1)))
     made.handle(START + 3.0, i.Fired(1))  # a slow client is no slow backend, and gets no second copy
-    assert (made.out, made.backends[send.backend].out, made.backends[send.backend].silent) == (0, {}, {})
+    assert (
+        made.servers.out,
+        made.servers.backends[send.backend].out,
+        made.servers.backends[send.backend].silent,
+    ) == (0, {}, {})
     made.handle(START + 3.0, i.Whole(1, 4.0))
-    assert made.out == 1 and made.jobs[1].end == START + 7.0
+    assert made.servers.out == 1 and made.attempts.jobs[1].end == START + 7.0
     made.handle(START + 3.1, done(1, send, i.Outcome.OK, closed=True))
-    assert made.out == 0 and made.took < 1.0 and not made.jobs  # the time that it took to come does not count
+    assert (
+        made.servers.out == 0 and made.servers.took < 1.0 and not made.attempts.jobs
+    )  # the time that it took to come does not count
 
 
 def test_a_request_that_cannot_be_sent_again_is_refused_if_it_never_ran() -> None:
@@ -660,12 +671,12 @@
     made, counter = gateway(), Counter()
     (send,) = sends(play(made, counter, START, request(1)))
     made.handle(START + 0.1, i.UnderWay(1, 0, send.backend, 0.1))
-    assert made.out == 0 and made.jobs[1].closed and made.took < 0.3
-    took = made.took
+    assert made.servers.out == 0 and made.attempts.jobs[1].closed and made.servers.took < 0.3
+    took = made.servers.took
     for late in range(1, 40):
         assert not sends(made.handle(START + late, i.Fired(1)))
     made.handle(START + 40, done(1, send, i.Outcome.OK, closed=True))
-    assert made.took == took and not made.jobs and made.out == 0
+    assert made.servers.took == took and not made.attempts.jobs and made.servers.out == 0
 
 
 # --- new settings ---------------------------------------------------------------------------------------
@@ -674,17 +685,17 @@
 def test_open_requests_keep_their_class_and_new_ones_get_the_new_settings() -> None:
     made, counter = gateway(caps__max_attempts="1"), Counter()
     (first,) = sends(play(made, counter, START, request(1, cls=1)))
-    old = made.jobs[1].cls
-    room, latency, leases = made.room, made.latency, dict(made.leases)
+    old = made.attempts.jobs[1].cls
+    room, latency, leases = made.choice.room, made.servers.latency, dict(made.quotas.leases)
     turned = text(
         classes__count="2", classes__1__name="fresh", classes__1__effect="unsafe", caps__max_attempts="3"
     )
     made.handle(START + 0.01, i.Retuned(parse_settings(turned)))
-    assert made.jobs[1].cls is old and old.name == "class-1"
-    assert (made.room, made.latency, made.leases) == (room, latency, leases)
+    assert made.attempts.jobs[1].cls is old and old.name == "class-1"
+    assert (made.choice.room, made.servers.latency, made.quotas.leases) == (room, latency, leases)
     play(made, counter, START + 0.02, request(2, cls=1))
-    assert made.jobs[2].cls.name == "fresh"
-    assert made.leases == leases  # the plan is the same: nothing is leased anew
+    assert made.attempts.jobs[2].cls.name == "fresh"
+    assert made.quotas.leases == leases  # the plan is the same: nothing is leased anew
     # One attempt was allowed when the first one came, and three when the second did.
     assert not sends(play(made, counter, START + 0.1, done(1, first, i.Outcome.RESET)))
     (third,) = sends(play(made, counter, START + 0.1, request(3)))
@@ -699,12 +710,12 @@
 def test_a_lease_of_a_plan_that_changed_is_made_anew_at_its_windows_edge() -> None:
     made, counter = gateway(), Counter()
     assert serve_all(made, counter, START, 1)
-    before = made.leases[5, False]
+    before = made.quotas.leases[5, False]
     made.handle(START, retuned(tariffs__0__peak_units="40.0"))
     assert serve_all(made, counter, START + 0.1, 2)
-    assert made.leases[5, False] is before
+    assert made.quotas.leases[5, False] is before
     assert serve_all(made, counter, START + 2.1, 3)  # a window is 2 s long
-    after = made.leases[5, False]
+    after = made.quotas.leases[5, False]
     assert (before.base, after.base, after.length) == (8.0, 40.0, 10.0)
 
 
@@ -714,16 +725,16 @@
     start = math.ceil(START / 2) * 2 - mix(5) / 2**64 * 2 + 2  # a window's start
     lower = retuned(tariffs__0__peak_units="4.0", tariffs__0__quota_rate="2.0")  # 4 units in 2 s
     assert serve_all(made, counter, start, 1)
-    leased = made.leases[5, False].credits + 1  # the share of one of three gateways: 3 units
+    leased = made.quotas.leases[5, False].credits + 1  # the share of one of three gateways: 3 units
     assert leased == pytest.approx(3.0, abs=0.7)
     served = 1
     if in_flight:
-        while made.leases[5, False].credits > 0.5:
+        while made.quotas.leases[5, False].credits > 0.5:
             served += serve_all(made, counter, start + 0.1, 10 + served)
         (call,) = [a for a in made.handle(start + 0.1, request(50)) if isinstance(a, i.Count)]
         made.handle(start + 0.1, lower)
         made.handle(start + 0.1, counter.answer(call))
-        served += bool(made.jobs[50].out) if 50 in made.jobs else 0
+        served += bool(made.attempts.jobs[50].out) if 50 in made.attempts.jobs else 0
     else:
         made.handle(start + 0.1, lower)
     for rid in range(100, 112):
@@ -734,26 +745,26 @@
 def test_a_quota_lowered_and_put_back_is_as_it_was() -> None:
     made, counter = gateway(), Counter()
     assert serve_all(made, counter, START, 1)
-    lease = made.leases[5, False]
+    lease = made.quotas.leases[5, False]
     made.handle(START, retuned(tariffs__0__peak_units="4.0"))
     assert lease.later is not None
     made.handle(START, retuned())
-    assert made.leases[5, False] is lease and lease.later is None
+    assert made.quotas.leases[5, False] is lease and lease.later is None
     assert sum(serve_all(made, counter, START + 0.01, 10 + n) for n in range(12)) >= 6
 
 
 def test_a_renamed_plan_keeps_its_leases_and_its_requests() -> None:
     made, counter = gateway(), Counter()
     (send,) = sends(play(made, counter, START, request(1)))
-    lease, old = made.leases[5, False], made.settings.plans[0]
+    lease, old = made.quotas.leases[5, False], made.settings.plans[0]
     credits = lease.credits
     made.handle(START, retuned(tariffs__0__name="fresh"))
-    assert made.jobs[1].plan is old
+    assert made.attempts.jobs[1].plan is old
     assert serve_all(made, counter, START, 2)  # names it anew
-    assert made.leases[5, False] is lease and lease.credits == credits - 1
+    assert made.quotas.leases[5, False] is lease and lease.credits == credits - 1
     late = dataclasses.replace(request(3), plan=0, own_plan=old)  # names it as it was a moment ago
-    assert sends(play(made, counter, START, late)) and made.jobs[3].plan is old
-    assert made.leases[5, False] is lease
+    assert sends(play(made, counter, START, late)) and made.attempts.jobs[3].plan is old
+    assert made.quotas.leases[5, False] is lease
     play(made, counter, START, done(1, send, i.Outcome.OK, closed=True))
 
 
@@ -814,20 +825,22 @@
 def test_a_door_with_few_requests_remembers_a_server_that_errs() -> None:
     """The fleet's 40 doors would else send it as much as any other: each forgets it before it asks again."""
     made, first = seldom_heard(i.Outcome.ERROR, 0.1)
-    assert made.expected(made.backends[first.backend]) > 4 * made.latency
+    assert made.servers.expected(made.servers.backends[first.backend]) > 4 * made.servers.latency
     made.handle(START + 40, request(99))
-    assert made.expected(made.backends[first.backend]) < 2 * made.latency  # and is tried again
+    assert (
+        made.servers.expected(made.servers.backends[first.backend]) < 2 * made.servers.latency
+    )  # and is tried again
 
 
 def test_the_only_answer_of_a_server_counts_for_more_than_one_of_many() -> None:
     made, first = seldom_heard(i.Outcome.OK, 1.0)
-    slow = made.backends[first.backend]
-    assert slow.latency > 1.5 * made.latency
+    slow = made.servers.backends[first.backend]
+    assert slow.latency > 1.5 * made.servers.latency
 
 
 def test_a_jam_is_not_remembered_for_as_long_as_errors_are() -> None:
     made, first = seldom_heard(i.Outcome.OK, 1.0)
-    assert made.expected(made.backends[first.backend]) < 2 * made.latency
+    assert made.servers.expected(made.servers.backends[first.backend]) < 2 * made.servers.latency
 
 
 def test_a_door_with_few_answers_knows_of_a_jam_within_seconds() -> None:
@@ -835,42 +848,42 @@
     for rid in range(1, 6):
         (send,) = sends(made.handle(START + rid, request(rid, customer=rid)))
         made.handle(START + rid + 0.9, done(rid, send, i.Outcome.OK, closed=True))
-    assert made.latency > 0.6
+    assert made.servers.latency > 0.6
 
 
 def test_doors_do_not_all_hold_one_attempt_at_each_server() -> None:
     """A part of an attempt for each of 40 doors is not one for each; it comes to the same over all doors."""
     doors = [gateway((), seed, peers_total="40") for seed in range(40)]
-    part = 2 * doors[0].room
-    holding = sum(door.may_hold(door.backends[1], door.latency) for door in doors)
+    part = 2 * doors[0].choice.room
+    holding = sum(door.choice.may_hold(door.servers.backends[1], door.servers.latency) for door in doors)
     assert part < 1 and 0.6 * part * 40 < holding < 1.4 * part * 40
     door = gateway(peers_total="2")
-    assert door.may_hold(door.backends[1], door.latency)
+    assert door.choice.may_hold(door.servers.backends[1], door.servers.latency)
 
 
 def test_a_server_that_cannot_be_reached_is_no_capacity() -> None:
     """A list from before a release names servers that are gone; room for them would jam the others."""
     made = gateway(tariffs__0__quota_rate="0", peers_total="40")
-    listed = made.capacity()
+    listed = made.servers.capacity()
     (send,) = sends(made.handle(START, request(1)))
     made.handle(START + 0.25, done(1, send, i.Outcome.CONNECT_FAILED))
-    made.now = START + 8
-    assert made.capacity() == listed - 1
-    made.now = START + 60
-    assert made.capacity() == listed  # and is tried again
+    made.turn.now = START + 8
+    assert made.servers.capacity() == listed - 1
+    made.turn.now = START + 60
+    assert made.servers.capacity() == listed  # and is tried again
 
 
 def test_calls_begin_by_the_aims_and_grow_while_answers_are_quick() -> None:
     slow, fast = (gateway(**{f"classes__{n}__goal_time_s": aim for n in range(3)}) for aim in ("4.0", "1.0"))
-    assert fast.pace == pytest.approx(4 * slow.pace)
+    assert fast.pace.pace == pytest.approx(4 * slow.pace.pace)
     paces = []
     for spent in (0.001, 0.02):  # of a time-out of 0.05
         made = gateway(peers_total="40")
-        before = made.pace
+        before = made.pace.pace
         for _ in range(20):
-            made.calls_left, made.calls_at = 0.0, made.now
-            made.judge_counter(i.Counted(1, i.Outcome.OK, 1.0, spent), good=True)
-        paces.append(made.pace / before)
+            made.pace.calls_left, made.pace.calls_at = 0.0, made.turn.now
+            made.pace.judge(i.Counted(1, i.Outcome.OK, 1.0, spent), good=True)
+        paces.append(made.pace.pace / before)
     assert paces[0] > 3 and 1 < paces[1] < 1.2
 
 
--- a/tests/test_generations.py
+++ b/tests/test_generations.py
@@ -108,8 +108,8 @@
     host, server, upstream, counter = door.host, door.server, door.host.upstream, door.host.counter
     return {
         "module": host.gateway.settings,
-        "aim": host.gateway.aim,
-        "peers": host.gateway.peers,
+        "aim": host.gateway.turn.aim,
+        "peers": host.gateway.turn.peers,
         "limits": host.limits,
         "classes": server.classes,
         "plans": server.plans,
@@ -484,7 +484,7 @@
             async with door_from(path, monkeypatch) as new:
                 assert running(new) == 2 and new.generations.running.number == 2
                 assert new.generations.confirm_by == old.generations.confirm_by is not None
-                assert new.host.gateway.random.getstate() != old.host.gateway.random.getstate()
+                assert new.host.gateway.turn.random.getstate() != old.host.gateway.turn.random.getstate()
                 assert (await exchange(new, "PUT", "/_configuration/confirm")).status == 200
                 await until(lambda: old.generations.confirm_by is None)
                 assert (await put(new, attempts(raw, 3))).status == 200
@@ -697,7 +697,7 @@
                 gone = json.loads(json.dumps(moved))
                 gone["settings"]["extra"]["has_counter"] = "false"
                 assert (await put(door, gone)).status == 200
-                assert door.host.counter is None and not door.host.gateway.may_call()
+                assert door.host.counter is None and not door.host.gateway.pace.may_call()
                 assert (await task).status in (200, 503)
                 assert len(other.calls) <= calls + 1
                 assert (await put(door, moved)).status == 200
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -136,7 +136,7 @@
             assert [await detach(door, ONE), await detach(door, ONE)] == [200, 200]
             assert (await served_by(door, one, two))[0] == 0
             assert await attach(door, ONE) == 200  # one call back for two calls out
-            assert {b.entry.backend for b in door.host.gateway.live} == {1, 2}
+            assert {b.entry.backend for b in door.host.gateway.servers.live} == {1, 2}
 
     run(test())
 
@@ -147,18 +147,18 @@
             async with managed(tmp_path, first, second) as old:
                 assert await detach(old, ONE) == 200
                 async with managed(tmp_path, first, second) as new:  # found on file
-                    assert new.host.gateway.banned == {1}
+                    assert new.host.gateway.servers.banned == {1}
                     assert await detach(new, TWO) == 200
-                    await until(lambda: old.host.gateway.banned == {1, 2})
+                    await until(lambda: old.host.gateway.servers.banned == {1, 2})
                     assert await attach(new, ONE) == 200
-                    await until(lambda: old.host.gateway.banned == {2})
+                    await until(lambda: old.host.gateway.servers.banned == {2})
                     # Both count its warming from the same moment.
-                    assert old.host.gateway.returned == new.host.gateway.returned
+                    assert old.host.gateway.servers.returned == new.host.gateway.servers.returned
                     async with managed(tmp_path, first, second) as third:  # nor does a later one forget it
-                        assert third.host.gateway.returned == old.host.gateway.returned != {}
-                        assert third.host.gateway.banned == {2}
+                        assert third.host.gateway.servers.returned == old.host.gateway.servers.returned != {}
+                        assert third.host.gateway.servers.banned == {2}
             async with managed(tmp_path, first, second, listed=1) as later:
-                assert later.host.gateway.banned == {2}
+                assert later.host.gateway.servers.banned == {2}
                 assert await attach(later, TWO) == 200  # though no list has named it here
 
     run(test())
@@ -169,7 +169,7 @@
         async with listening(Backend().handle) as dial, managed(tmp_path, dial) as door:
             shutil.rmtree(tmp_path / "ivymux")
             assert await detach(door, ONE) == 500
-            assert not door.host.gateway.banned
+            assert not door.host.gateway.servers.banned
 
     run(test())
 
@@ -180,7 +180,7 @@
         for name in ("out-", "out-xyz", "out-00000001.tmp", "other"):
             (tmp_path / "ivymux" / name).write_bytes(b"\x00{")
         async with listening(Backend().handle) as dial, managed(tmp_path, dial) as door:
-            assert not door.host.gateway.banned
-            assert await detach(door, ONE) == 200 and door.host.gateway.banned == {1}
+            assert not door.host.gateway.servers.banned
+            assert await detach(door, ONE) == 200 and door.host.gateway.servers.banned == {1}
 
     run(test())
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -175,15 +175,19 @@
         async with listening(Backend().handle) as dial, managed(tmp_path, dial) as one:
             clients, upstream = one.server.most_clients, one.host.upstream.most_open
             gateway = one.host.gateway
-            room, peers = gateway.room, gateway.peers
+            room, peers = gateway.choice.room, gateway.turn.peers
             async with managed(tmp_path, dial) as two:
                 one.handover.look()
                 assert (one.server.most_clients, two.server.most_clients) == (clients // 2, clients // 2)
                 assert one.host.upstream.most_open == upstream // 2
-                assert (gateway.peers, gateway.room) == (2 * peers, room / 2)
-                assert two.host.gateway.peers == 2 * peers
+                assert (gateway.turn.peers, gateway.choice.room) == (2 * peers, room / 2)
+                assert two.host.gateway.turn.peers == 2 * peers
             one.handover.look()
-            assert (one.server.most_clients, gateway.peers, gateway.room) == (clients, peers, room)
+            assert (one.server.most_clients, gateway.turn.peers, gateway.choice.room) == (
+                clients,
+                peers,
+                room,
+            )
 
     run(test())
 
