Spend no call on a client's further try while calls are short

Change: a try that its client marks as a further one gets a call only while there are some to spare; else it goes by its share, as before without a call.

--- a/orchidhill/policy/quotas.py
+++ b/orchidhill/policy/quotas.py
@@ -90,7 +90,7 @@
                 self.spend(lease, job, units)
             elif self.turn.now < lease.denied_until:
                 self.desk.refuse(job, lease.denied_until - self.turn.now)
-            elif (lease.waiting or self.pace.may_call()) and not self.calm(lease, units):
+            elif (lease.waiting or self.may_ask(job)) and not self.calm(lease, units):
                 lease.waiters.append(job)
                 self.ask(lease)
             else:
@@ -99,6 +99,9 @@
                 return
         self.desk.dispatch(job)
 
+    def may_ask(self, job: Job) -> bool:
+        return self.pace.spare() if job.req.is_retry else self.pace.may_call()
+
     def spend(self, lease: Lease, job: Job, units: float) -> None:
         lease.credits -= units
         lease.served += units
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -921,3 +921,15 @@
         let_in += not any(isinstance(a, i.Refuse) for a in found)
         door.handle(now, i.Left(n))
     assert least <= let_in / (8 * windows) <= most
+
+
+def test_a_further_try_gets_a_call_only_while_there_are_some_to_spare() -> None:
+    counts = []
+    for left in (1.5, 8.0):  # of 8 calls that may stand by
+        made = gateway()
+        made.pace.calls_left, made.pace.calls_at = left, START
+        again = dataclasses.replace(request(1, customer=7), is_retry=True)
+        counts.append(sum(isinstance(a, i.Count) for a in made.handle(START, again)))
+        first = made.handle(START, request(2)) + made.handle(START, request(3))  # the second beyond its share
+        assert any(isinstance(a, i.Count) for a in first)
+    assert counts == [0, 1]
