Give up what never ran once it cannot make its aim, attempted or not

Traced by id through client, door and alert server: the first attempt failed to connect at once, `further` put it in the queue as the fleet was full, and `hold` gave up only what had never been attempted. Ruled out: the pool (no attempt waited there), a connection that swallowed it (no bytes were written), the guard's late answer (end came from the module).

--- a/orchidhill/policy/attempts.py
+++ b/orchidhill/policy/attempts.py
@@ -142,9 +142,10 @@
             self.queue.append(job) if len(self.queue) > 3 else self.dispatch(job)
 
     def hold(self) -> None:
-        """Whatever is held ends before its client's time does, and unstarted if it cannot make its aim."""
+        """What is held ends before its client's time does, and what never ran once it cannot make its aim."""
         for job in [j for j in self.jobs.values() if not j.out]:
-            hopeless = not job.attempts and self.turn.now + self.servers.latency > job.arrived + job.cls.aim
+            late = self.turn.now + self.servers.latency > job.arrived + job.cls.aim
+            hopeless = late and job.ran is None
             if hopeless or self.turn.now > job.end - MARGIN - TICK:
                 self.end(job)
         self.queue = [job for job in self.queue if not job.closed]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -933,3 +933,14 @@
         first = made.handle(START, request(2)) + made.handle(START, request(3))  # the second beyond its share
         assert any(isinstance(a, i.Count) for a in first)
     assert counts == [0, 1]
+
+
+@pytest.mark.parametrize("outcome", [i.Outcome.CONNECT_FAILED, i.Outcome.FULL, i.Outcome.MOOT])
+def test_what_never_ran_is_given_up_once_it_cannot_make_its_aim(outcome: i.Outcome) -> None:
+    """There is no other server for it: it is held for a second attempt, and no longer."""
+    made = gateway([entry(1)], tariffs__0__quota_rate="0")
+    (send,) = sends(made.handle(START, request(1)))
+    found = made.handle(START, done(1, send, outcome))
+    ticks = [made.handle(START + n * TICK, i.Fired(1)) for n in range(1, 170)]
+    (held,) = [n * TICK for n, found in enumerate(ticks, 1) if any(isinstance(a, i.Refuse) for a in found)]
+    assert not sends(found) and 1.0 < held < 2.1  # aim 2 s, deadline 4 s
