Let servers alone write what is out there and cold budgets, and settings alone give the aim

Cause: on reading the split again, its own promise did not hold. `attempts` wrote a server's attempts and the sum of them in three places, with serves() in two of these; `choice` and `servers` both wrote the cold level; the shortest aim was set beside the settings twice. Change: Servers.put_out, take_back and cold_room; Turn.retune sets settings and aim at once. What still crosses rooms (draws, silent, held, window) stands in records.py and in the design page in place of a claim that nothing does.

--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -17,7 +17,6 @@
 class Gateway:  # decides for one gateway; `handle` is the only way in
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.turn = turn = Turn(settings, random.Random(seed), max(1, settings.peers))
-        turn.aim = turn.shortest_aim()
         self.pace = Pace(turn)
         self.servers = Servers(turn)
         self.choice = Choice(turn, self.servers, {})
@@ -78,9 +77,8 @@
         """Jobs keep class, plan and limits that they came with, by value, and all that was learned stays."""
         plans = {plan.name: plan for plan in settings.plans}
         changed = {p.name: plans[p.name] for p in self.settings.plans if plans.get(p.name, p) != p}
-        self.turn.settings = settings
+        self.turn.retune(settings)
         self.quotas.retune(changed)
-        self.turn.aim = self.turn.shortest_aim()
         self.pace.retune()
         self.share_out()
 
--- a/orchidhill/policy/__init__.py
+++ b/orchidhill/policy/__init__.py
@@ -1,4 +1,5 @@
-"""The decisions, a room each.  Imports and questions go down this list; a room alone writes its state.
+"""The decisions, a room each.  Imports and questions go down this list; a room alone writes its state
+(`records` names the columns of rows that do not follow this).
 
     attempts   requests that are open, their attempts, what is held    asks quotas, choice, servers
     choice     the room at the servers, which one gets an attempt      asks servers
--- a/orchidhill/policy/attempts.py
+++ b/orchidhill/policy/attempts.py
@@ -46,8 +46,7 @@
 
     def send(self, job: Job, backend: Backend) -> None:
         if job.whole:
-            backend.out[job.req.request, job.attempts] = self.turn.now
-            self.servers.out += 1
+            self.servers.put_out(backend, job.req.request, job.attempts)
         job.out[job.attempts] = backend, self.turn.now
         job.attempts += 1
         job.tried.append(backend.entry.backend)
@@ -64,8 +63,7 @@
         job.whole, job.arrived, job.end = True, self.turn.now, self.turn.now + event.left
         for attempt, (backend, _) in list(job.out.items()):
             job.out[attempt] = backend, self.turn.now
-            backend.out[event.request, attempt] = self.turn.now
-            self.servers.out += self.servers.serves(backend)
+            self.servers.put_out(backend, event.request, attempt)
 
     def on_under_way(self, event: i.UnderWay) -> None:
         """The backend is done with it, but for its bytes; these hold a slot and nothing else."""
@@ -79,11 +77,10 @@
         self, request: int, attempt: int, number: int, outcome: Outcome, report: tuple[float, ...]
     ) -> None:
         backend = self.servers.backends.get(number)
-        if backend and (sent := backend.out.pop((request, attempt), None)) is not None:
-            self.servers.out -= self.servers.serves(backend)
-            if outcome not in (Outcome.CANCELLED, Outcome.MOOT):
-                late = self.servers.observe(backend, self.jobs.get(request), outcome, report, sent)
-                self.choice.adapt(late)
+        sent = self.servers.take_back(backend, request, attempt) if backend else None
+        if backend and sent is not None and outcome not in (Outcome.CANCELLED, Outcome.MOOT):
+            late = self.servers.observe(backend, self.jobs.get(request), outcome, report, sent)
+            self.choice.adapt(late)
 
     def on_finished(self, event: i.Finished) -> None:
         self.ended(event.request, event.attempt, event.backend, event.outcome, event.report)
--- a/orchidhill/policy/choice.py
+++ b/orchidhill/policy/choice.py
@@ -7,15 +7,12 @@
 from orchidhill import interface as i
 from orchidhill.interface import Effect, Scope
 from orchidhill.policy.records import Backend, Job
-from orchidhill.policy.servers import FRESH, MISSED, Servers
-from orchidhill.policy.turn import EJECT, EPS, MARGIN, NEWEST, RATE_SPAN, SUSPECT, Turn
+from orchidhill.policy.servers import FRESH, LEAST_LIMIT, MISSED, Servers
+from orchidhill.policy.turn import EJECT, MARGIN, NEWEST, RATE_SPAN, SUSPECT, Turn
 
 FIRST_LIMIT = 12.0  # attempts out at a mean backend, all gateways, before anything is known
 SPREAD = 0.7  # standard deviations of room above the mean: a gateway's load comes unevenly
-LEAST_LIMIT = 4.0  # and at least: an idle core serves nobody
 BACKOFF = 0.85  # factor on that limit when the target is missed
-COLD_SAFETY = 0.45  # part of the cold budget that is sent unproven: what is answered comes on top
-COLD_BURST = 0.3  # of that, what may go at once; the flow of the rest must let a cold one take its share
 CANDIDATES = 12  # backends looked at for an attempt: the fleet may be large
 POOL = 8  # load reports kept fresh where they must be asked for
 PROBERS = 4  # gateways that may each keep such a pool; more of them share these probes
@@ -52,18 +49,6 @@
         entry = backend.entry
         return {Scope.CELL: entry.cell, Scope.ZONE: entry.zone, Scope.ALL: 0}[job.cls.scope]
 
-    def cold_room(self, backend: Backend, warmth: float) -> bool:
-        """My part of a cold backend's budget over every window: some at once, the rest as it flows in, and
-        what it has answered once more, as it can surely do that.  Where the budget is below one request, the
-        level that each gateway starts from at random decides who sends first."""
-        rules = self.turn.settings.rules
-        budget = COLD_SAFETY * rules.fall_multiple * warmth * self.servers.rate(0.0) * rules.fall_time
-        budget = max(budget, LEAST_LIMIT / self.turn.peers)  # some may warm by serving only
-        flow = budget * (1 - COLD_BURST) / max(EPS, rules.fall_time)
-        level = backend.cold_level + (self.turn.now - backend.cold_at) * flow
-        backend.cold_level, backend.cold_at = min(max(1.0, budget * COLD_BURST), level), self.turn.now
-        return backend.cold_level >= 1.0
-
     def probe(self) -> None:
         """Ask a backend at random for its load, at most once a request and as often as keeps a pool fresh."""
         limits, how = self.turn.settings.limits, self.turn.settings.report_how
@@ -94,7 +79,7 @@
             if backend.entry.backend in job.tried[-2:] or not self.may_hold(backend, expected):
                 continue
             warmth = self.servers.warmth(backend)
-            if warmth < 1 and not self.cold_room(backend, warmth):
+            if warmth < 1 and not self.servers.cold_room(backend, warmth):
                 continue
             ahead = len(backend.out) + 1 + NEWEST * self.servers.burden(backend)
             if now - backend.silent.get(job.cls.name, -math.inf) < 2 * RATE_SPAN:
--- a/orchidhill/policy/records.py
+++ b/orchidhill/policy/records.py
@@ -1,4 +1,8 @@
-"""The rows that rooms keep.  A lease is written by `quotas`, a backend by `servers`, a job by `attempts`."""
+"""The rows that rooms keep: a lease is `quotas`', a backend `servers`', a job `attempts`'.
+
+Written by another room: a backend's `draw` and `drawn_at` by `choice`, its `silent` also by `attempts`; a
+job's `held` and `window` by `quotas`.
+"""
 
 from __future__ import annotations
 
--- a/orchidhill/policy/servers.py
+++ b/orchidhill/policy/servers.py
@@ -13,6 +13,9 @@
 SAMPLES = 2.0  # requests to a mean backend for which a gateway remembers at least that one errs
 STALE = 2.0  # seconds that figures of the whole fleet look back at the most
 PRIOR = 2.0  # answers that the fleet's latency counts for, beside a backend's own
+COLD_SAFETY = 0.45  # part of the cold budget that is sent unproven: what is answered comes on top
+COLD_BURST = 0.3  # of that, what may go at once; the flow of the rest must let a cold one take its share
+LEAST_LIMIT = 4.0  # attempts out at a mean backend at least, all gateways: an idle core serves nobody
 COUNTED = 0.05  # seconds for which the count of live backends holds
 MISSED = 0.3  # by more than this part of the answers: not by one slow backend or costly request
 
@@ -106,6 +109,18 @@
             self.capacity_now = max(1.0, sum(self.warmth(b) for b in self.live if not self.useless(b)))
         return self.capacity_now
 
+    def cold_room(self, backend: Backend, warmth: float) -> bool:
+        """My part of a cold backend's budget over every window: some at once, the rest as it flows in, and
+        what it has answered once more, as it can surely do that.  Where the budget is below one request, the
+        level that each gateway starts from at random decides who sends first."""
+        rules = self.turn.settings.rules
+        budget = COLD_SAFETY * rules.fall_multiple * warmth * self.rate(0.0) * rules.fall_time
+        budget = max(budget, LEAST_LIMIT / self.turn.peers)  # some may warm by serving only
+        flow = budget * (1 - COLD_BURST) / max(EPS, rules.fall_time)
+        level = backend.cold_level + (self.turn.now - backend.cold_at) * flow
+        backend.cold_level, backend.cold_at = min(max(1.0, budget * COLD_BURST), level), self.turn.now
+        return backend.cold_level >= 1.0
+
     def span(self) -> float:
         """How long errors of a backend count: until it would have been sent a few more requests."""
         rate = self.rate(math.inf)
@@ -187,6 +202,17 @@
             self.missed += max(SMOOTH / 2, stale) * (late - self.missed)
         return late
 
+    def put_out(self, backend: Backend, request: int, attempt: int) -> None:
+        """Its work there begins: it is out until `take_back`."""
+        backend.out[request, attempt] = self.turn.now
+        self.out += self.serves(backend)
+
+    def take_back(self, backend: Backend, request: int, attempt: int) -> float | None:
+        """When an attempt that is over was put out, if it was."""
+        if (sent := backend.out.pop((request, attempt), None)) is not None:
+            self.out -= self.serves(backend)
+        return sent
+
     def sending(self, backend: Backend) -> None:
         """An attempt goes to it."""
         self.unused.discard(backend.entry.backend)
--- a/orchidhill/policy/turn.py
+++ b/orchidhill/policy/turn.py
@@ -34,10 +34,14 @@
     settings: i.Settings
     random: random.Random
     peers: int
-    aim: float = 0.0  # the shortest of any class
+    aim: float = field(init=False)  # the shortest of any class
     now: float = 0.0
     processes: int = 1  # that serve as this gateway's front door
     actions: list[i.Action] = field(default_factory=list)
 
-    def shortest_aim(self) -> float:
-        return min((c.aim for c in self.settings.classes), default=1.0)
+    def __post_init__(self) -> None:
+        self.retune(self.settings)
+
+    def retune(self, settings: i.Settings) -> None:
+        self.settings = settings
+        self.aim = min((c.aim for c in settings.classes), default=1.0)
