--- a/ivymux/frontdoor.py
+++ b/ivymux/frontdoor.py
@@ -7,6 +7,7 @@
 import os
 import time
 
+from ivymux.caller import SURPLUS
 from ivymux.config import Config, ConfigError
 from ivymux.counter import Counter
 from ivymux.discovery import Discovery, Names
@@ -15,7 +16,7 @@
 from ivymux.host import Host
 from ivymux.management import MOST_CALLERS, Management
 from ivymux.metrics import Counts, Metrics, descriptors
-from ivymux.server import SURPLUS, Server
+from ivymux.server import Server
 from ivymux.upstream import Upstream
 from orchidhill.gateway import Gateway
 from orchidhill.interface import Settings
--- a/ivymux/host.py
+++ b/ivymux/host.py
@@ -9,7 +9,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import Generic, Protocol, TypeVar
 
 from ivymux.config import Address
 from ivymux.counter import Counter
@@ -17,7 +17,6 @@
 from ivymux.metrics import Counts
 from ivymux.upstream import Upstream
 from orchidhill import interface as i
-from orchidhill.gateway import Gateway
 from orchidhill.interface import Outcome, State
 
 ATTEMPT_MARGIN = 0.030  # seconds before the client's deadline at which an attempt is given up
@@ -56,7 +55,7 @@
     """A request that still needs an answer, or whose attempts are still out."""
 
     number: int
-    payload: Callable[[float], bytes]  # what goes to a backend, given the time that is left
+    payload: Callable[[float, int], bytes]  # what goes to a backend, given the time that is left, and which
     caller: Caller
     timeout: float  # seconds that its client waits from its last byte on
     limits: i.Limits  # those that held when it came
@@ -71,8 +70,29 @@
     settled: bool = False  # answered, or nobody waits any more
 
 
-class Host:
-    def __init__(self, gateway: Gateway, upstream: Upstream, counts: Counts) -> None:
+class Module(Protocol):
+    """Whose decisions are carried out."""
+
+    @property
+    def settings(self) -> Told: ...
+
+    @property
+    def actions(self) -> list[i.Action]:
+        """What the last event has brought about so far."""
+
+    def handle(self, now: float, event: i.Event) -> list[i.Action]: ...
+
+
+class Told(Protocol):
+    @property
+    def limits(self) -> i.Limits: ...
+
+
+M = TypeVar("M", bound=Module)
+
+
+class Host(Generic[M]):
+    def __init__(self, gateway: M, upstream: Upstream, counts: Counts) -> None:
         self.gateway, self.upstream, self.counts = gateway, upstream, counts
         self.counter: Counter | None = None
         self.limits = gateway.settings.limits
@@ -133,17 +153,16 @@
 
     def request(
         self,
-        make: Callable[[int], i.Request],
+        make: Callable[[int], i.Event],
+        name: str,
         timeout: float,
-        payload: Callable[[float], bytes],
+        payload: Callable[[float, int], bytes],
         caller: Caller,
         upload: Upload | None = None,
     ) -> Open:
         self.number += 1
         event = make(self.number)
-        cls = event.own or self.gateway.settings.classes[event.cls]
-        label = self.counts.label(cls.name)
-        request = Open(self.number, payload, caller, timeout, self.limits, upload, label)
+        request = Open(self.number, payload, caller, timeout, self.limits, upload, self.counts.label(name))
         self.table[request.number] = request
         self.waiting += 1
         if upload is None:
@@ -274,11 +293,20 @@
         def begun(flow: Flow) -> Sink | None:
             return self.begun(request, number, action.backend, flow)
 
-        attempt = Attempt(request.payload(timeout), done, begun, request.upload)
+        attempt = self.attempt(request, request.payload(timeout, action.backend), done, begun)
         self.upstream.start(action.backend, timeout, attempt)
         if not attempt.over:
             request.out[number] = attempt
 
+    def attempt(
+        self,
+        request: Open,
+        payload: bytes,
+        done: Callable[[Result], None],
+        begun: Callable[[Flow], Sink | None],
+    ) -> Attempt:
+        return Attempt(payload, done, begun, request.upload)
+
     def time_left(self, request: Open) -> float:
         """What an attempt may take."""
         if request.upload is not None and not request.upload.whole:
@@ -305,7 +333,7 @@
         if not result.outcome.never_ran:
             request.may_have_run = True
         if result.outcome is Outcome.OK and not request.settled:
-            self.settle(request, Answer(200, result.body, result.content_type))
+            self.settle(request, self.served(result))
         closed, again = request.settled, request.upload is None or request.upload.again
         outcome, spent = result.outcome, result.spent
         self.post(
@@ -313,6 +341,9 @@
         )
         self.drop(request)
 
+    def served(self, result: Result) -> Answer:
+        return Answer(200, result.body, result.content_type)
+
     def end(self, number: int, answer: Answer) -> None:
         request = self.table.get(number)
         if request is not None and not request.settled:
--- a/ivymux/link.py
+++ b/ivymux/link.py
@@ -298,7 +298,7 @@
         if attempt is None or attempt.verdict is not None or self.result is not None:
             return
         if attempt.begun is not None:
-            self.sink = attempt.begun(Flow(self.length, self.content_type, self))
+            self.sink = attempt.begun(self.flow())
         if self.sink is None:
             attempt.verdict = Outcome.CANCELLED
             self.end("given_up")
@@ -308,6 +308,9 @@
         self.sink.feed(bytes(self.body))
         self.body.clear()
 
+    def flow(self) -> Flow:
+        return Flow(self.length, self.content_type, self)
+
     def on_message_complete(self) -> None:
         status = self.parser.get_status_code()
         if status < 200:
--- a/ivymux/upstream.py
+++ b/ivymux/upstream.py
@@ -20,6 +20,8 @@
 class Upstream:
     """All backends that discovery has named."""
 
+    link: Callable[[Pool], Link] = Link
+
     def __init__(
         self,
         connect_timeout: float,
@@ -47,7 +49,7 @@
         pool = self.pools.get(backend)
         if pool is None or (pool.address, pool.started) != (address, started):
             self.remove(backend)
-            self.pools[backend] = Pool(self, backend, address, started, Link)
+            self.pools[backend] = Pool(self, backend, address, started, self.link)
 
     def remove(self, backend: int) -> None:
         if (pool := self.pools.pop(backend, None)) is not None:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -10,8 +10,8 @@
 import pytest
 
 from ivymux import link
+from ivymux.caller import BODY_GRACE, HEAD_TIMEOUT, REPLAY
 from ivymux.link import SMALL
-from ivymux.server import BODY_GRACE, HEAD_TIMEOUT, REPLAY
 from ivymux.upstream import STALLED
 from orchidhill import interface as i
 from orchidhill.interface import Outcome
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -65,15 +65,15 @@
 def test_one_request_on_kept_connections(monkeypatch: pytest.MonkeyPatch) -> None:
     from ivymux.host import Host
     from ivymux.link import Link
-    from ivymux.server import Client as ClientLink
+    from ivymux.server import Caller
 
     async def test() -> None:
         calls = Calls(monkeypatch)  # before the loop keeps the methods of a connection
         calls.of(Host, "step", by_type=True)
         calls.of(Link, "carry")
         calls.of(Link, "buffer_updated")
-        calls.of(ClientLink, "buffer_updated")
-        calls.of(ClientLink, "flush")
+        calls.of(Caller, "buffer_updated")
+        calls.of(Caller, "flush")
         async with door(Backend(), Tally()) as made, Client(made.server) as client:
             text = [client.request() for _ in range(REQUESTS + 20)]
             for one in text[:20]:
@@ -85,7 +85,7 @@
             seen = calls.seen
             assert seen.pop("Request") == seen.pop("Finished") == REQUESTS  # what the module hears
             assert seen.pop("Link.carry") == seen.pop("Link.buffer_updated") == REQUESTS  # a write, a read
-            assert seen.pop("Client.buffer_updated") == seen.pop("Client.flush") == REQUESTS
+            assert seen.pop("Caller.buffer_updated") == seen.pop("Caller.flush") == REQUESTS
             seen.pop("Fired", 0)  # hangs on the time that it takes, not on requests
             assert sum(seen.values()) <= REQUESTS * 0.1  # what the counter answers
             assert made.counts.opened == opened  # no handshake
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -12,11 +12,11 @@
 
 import pytest
 
-from ivymux import server
+from ivymux import caller
+from ivymux.caller import HEAD_TIMEOUT, IDLE_TIMEOUT, MOST_BODY, MOST_HEAD, MOST_PIPELINED, SWEEP, encode
 from ivymux.frontdoor import OTHER_SOCKETS, FrontDoor
 from ivymux.host import Answer
 from ivymux.link import SMALL
-from ivymux.server import HEAD_TIMEOUT, IDLE_TIMEOUT, MOST_BODY, MOST_HEAD, MOST_PIPELINED, SWEEP, encode
 from orchidhill import interface as i
 from orchidhill.interface import Outcome
 from orchidhill.policy.turn import mix
@@ -699,7 +699,7 @@
 
 def test_a_connection_that_never_asked_gives_way_first(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
-        monkeypatch.setattr(server, "CROWDED", 2.0)  # else none would be kept
+        monkeypatch.setattr(caller, "CROWDED", 2.0)  # else none would be kept
         async with front_door("127.0.0.1:1", react=send_on) as (door, _):
             door.server.most_clients = 2
             async with Client(door.server) as asked, Client(door.server) as silent:
