--- /dev/null
+++ b/comb/check.py
@@ -0,0 +1,154 @@
+"""Whether a configuration may be taken: every field is read by marshmallow, then what ties entries together."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from marshmallow import EXCLUDE, Schema, ValidationError, fields, validate
+
+from comb.word import number_of
+
+KINDS = ("read_only", "mutating", "upload")
+AIM_OVER = 60_000  # ms by which a target must stay below its route's timeout and a minute more
+
+
+class Invalid(ValueError):
+    """A configuration that is refused; the text names the field."""
+
+    code = "invalid_configuration"
+
+
+class Lenient(Schema):
+    class Meta:
+        unknown = EXCLUDE
+
+
+class Part(Lenient):
+    service = fields.String(required=True)
+    shareWeight = fields.Float(required=True, validate=validate.Range(min=0))
+
+
+class RouteSpec(Lenient):
+    hostName = fields.String(required=True, validate=validate.Length(min=1))
+    pathPrefix = fields.String(required=True, validate=validate.Regexp(r"/"))
+    routeKind = fields.String(required=True, validate=validate.OneOf(KINDS))
+    timeoutMs = fields.Float(allow_none=True, validate=validate.Range(min=0, min_inclusive=False))
+    targetAnswerMs = fields.Float(allow_none=True, validate=validate.Range(min=0))
+    priority = fields.Integer(allow_none=True)
+    service = fields.String(allow_none=True)
+    weightedSplit = fields.List(fields.Nested(Part), allow_none=True)
+    maximumAttempts = fields.Integer(allow_none=True, validate=validate.Range(min=1))
+    openAccess = fields.Boolean(allow_none=True)
+    homeRegions = fields.List(fields.String(), allow_none=True)
+
+
+class ServiceSpec(Lenient):
+    healthPath = fields.String(allow_none=True)
+    connectionLimit = fields.Integer(allow_none=True, validate=validate.Range(min=0))
+    coldStartS = fields.Float(allow_none=True, validate=validate.Range(min=0))
+    coldPerS = fields.Float(allow_none=True, validate=validate.Range(min=0))
+
+
+class TenantSpec(Lenient):
+    accessKeys = fields.List(fields.String(validate=validate.Length(min=1)), allow_none=True)
+    priority = fields.Integer(allow_none=True)
+    requestsPerS = fields.Float(allow_none=True, validate=validate.Range(min=0))
+    burstSize = fields.Float(allow_none=True, validate=validate.Range(min=0))
+    homeRegions = fields.List(fields.String(), allow_none=True)
+
+
+class LimitsSpec(Lenient):
+    headerBytes = fields.Integer(allow_none=True, validate=validate.Range(min=1))
+    bodyBytes = fields.Integer(allow_none=True, validate=validate.Range(min=1))
+    headerTimeoutMs = fields.Float(allow_none=True, validate=validate.Range(min=0, min_inclusive=False))
+    idleTimeoutMs = fields.Float(allow_none=True, validate=validate.Range(min=0, min_inclusive=False))
+
+
+class Metadata(Lenient):
+    name = fields.String()
+
+
+class Entry(Lenient):
+    resourceKind = fields.String(required=True)
+    metadata = fields.Nested(Metadata, required=True)
+    specification = fields.Dict(required=True)
+
+
+class Document(Lenient):
+    versionNumber = fields.String(required=True, validate=validate.Regexp(r"^r[0-9]{1,18}$"))
+    resourceList = fields.List(fields.Nested(Entry), required=True)
+
+
+DOCUMENT = Document()
+SPECS: dict[str, Schema] = {
+    "routeTable": RouteSpec(),
+    "serviceTable": ServiceSpec(),
+    "tenantTable": TenantSpec(),
+    "limits": LimitsSpec(),
+}
+
+
+def first(messages: Any, path: str = "") -> str:
+    """The first problem that marshmallow found, with the way to its field."""
+    while isinstance(messages, dict) and messages:
+        key = next(iter(messages))
+        path, messages = f"{path}.{key}" if path else str(key), messages[key]
+    return f"{path}: {messages[0] if isinstance(messages, list) and messages else messages}"
+
+
+def check(body: bytes) -> int:
+    """The number of a configuration that may be taken; raises Invalid with the field that is wrong."""
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise Invalid(f"body: not JSON: {str(error)[:80]}") from None
+    try:
+        DOCUMENT.load(document)
+    except ValidationError as error:
+        raise Invalid(first(error.normalized_messages())) from None
+    names: dict[str, set[str]] = {kind: set() for kind in SPECS}
+    places: dict[tuple[str, str], str] = {}
+    holders: dict[str, str] = {}
+    routes: list[tuple[str, dict[str, Any]]] = []
+    for entry in document["resourceList"]:
+        kind, name, spec = entry["resourceKind"], entry["metadata"].get("name", ""), entry["specification"]
+        if kind not in SPECS:
+            raise Invalid(f"resourceList.{name}.resourceKind: {kind} is none that is known")
+        try:
+            SPECS[kind].load(spec)
+        except ValidationError as error:
+            raise Invalid(first(error.normalized_messages(), f"{kind}.{name}")) from None
+        if name in names[kind]:
+            raise Invalid(f"{kind}.{name}: stands twice")
+        if kind != "limits" and not name:
+            raise Invalid(f"{kind}: an entry without a name")
+        names[kind].add(name)
+        if kind == "routeTable":
+            routes.append((name, spec))
+            place = (spec["hostName"].lower(), spec["pathPrefix"])
+            if place in places:
+                raise Invalid(f"routeTable.{name}.pathPrefix: the place of {places[place]}")
+            places[place] = name
+        elif kind == "tenantTable":
+            for key in spec.get("accessKeys") or ():
+                if holders.setdefault(key, name) != name:
+                    raise Invalid(f"tenantTable.{name}.accessKeys: a key that {holders[key]} holds")
+    for name, spec in routes:
+        route(name, spec, names["serviceTable"])
+    return number_of(document["versionNumber"])
+
+
+def route(name: str, spec: dict[str, Any], services: set[str]) -> None:
+    """What one route refers to, and its figures against each other."""
+    split = spec.get("weightedSplit")
+    if split is None and spec.get("service") is None:
+        raise Invalid(f"routeTable.{name}.service: there is none")
+    for service in [part["service"] for part in split] if split is not None else [spec["service"]]:
+        if service not in services:
+            raise Invalid(f"routeTable.{name}.service: {service} is unknown")
+    if split is not None and sum(part["shareWeight"] for part in split) <= 0:
+        raise Invalid(f"routeTable.{name}.weightedSplit: the weights sum to 0")
+    timeout, aim = spec.get("timeoutMs"), spec.get("targetAnswerMs")
+    if timeout is not None and aim is not None and aim >= timeout + AIM_OVER:
+        raise Invalid(f"routeTable.{name}.targetAnswerMs: a minute or more above timeoutMs")
--- /dev/null
+++ b/forage/fleet.py
@@ -0,0 +1,148 @@
+"""What a door knows of each server: its life, place and state, what is out there, how fast it answers."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from waggle.news import Server as Listed
+
+NEWEST = 0.15  # weight of the newest answer in what is known of a server's speed
+FADE = 1.0  # seconds after which a load report counts for nothing: a few requests' time
+SUSPECT = 0.5  # seconds without requests after a failure, doubled with each further one
+MOST_SUSPECT = 4.0
+OTHER_ZONE = 0.06  # part of a request's usual time that a way into another zone must gain, as bytes between zones cost
+OTHER_REGION = 0.5  # the same between regions: 40 ms there and back, and dearer bytes
+UPLOADS = 6.0  # times as much for bodies that are large
+
+
+@dataclass(slots=True)
+class Server:
+    """One life of a server, as this door sees it; times in seconds."""
+
+    id: str
+    number: int
+    address: str
+    zone: str
+    region: str
+    service: str
+    slots: int
+    accepting: bool
+    cold_until: float = 0.0
+    out: int = 0  # requests of this door
+    running: int = 0  # as it told, of all doors
+    waiting: int = 0
+    told_out: int = 0  # of this door, when it told
+    told_at: float = -1e9
+    pace: float = 1.0  # its time for a request against that of all
+    failures: int = 0  # in a row
+    suspect_until: float = 0.0
+    gone: bool = False
+
+    def busy(self, now: float) -> float:
+        """Requests there, this door's and, fading, those of others."""
+        others = max(0, self.running + self.waiting - self.told_out)
+        return self.out + others * max(0.0, 1 - (now - self.told_at) / FADE)
+
+    def usable(self, now: float, closed: frozenset[str]) -> bool:
+        return self.accepting and not self.gone and self.zone not in closed and now >= self.cold_until
+
+
+@dataclass(slots=True)
+class Usual:
+    """How long requests of one route take, over all servers."""
+
+    time: float
+    seen: int = 0
+
+
+@dataclass(slots=True)
+class Fleet:
+    zone: str
+    region: str
+    regions: dict[str, str]  # of zones
+    random: random.Random
+    servers: dict[int, Server] = field(default_factory=dict)
+    services: dict[str, dict[str, Server]] = field(default_factory=dict)
+    usual: dict[str, Usual] = field(default_factory=dict)
+    number: int = 0
+
+    def listed(self, now: float, service: str, servers: Iterable[Listed], cold_time: float) -> list[Server]:
+        """The servers of a service from now on; those that are gone are returned.  A life that was not there
+        when the first list came is cold for its time, whatever the list says."""
+        known = self.services.get(service)
+        fresh, found = known is not None, {}
+        for told in servers:
+            server = known.pop(told.id, None) if known else None
+            if server is None:
+                self.number += 1
+                server = Server(
+                    told.id, self.number, told.address, told.zone,
+                    self.regions.get(told.zone, ""), service, told.slots, told.accepting,
+                )  # fmt: skip
+                server.cold_until = now + cold_time if fresh else 0.0
+                self.servers[server.number] = server
+            server.accepting, server.slots = told.accepting, max(1, told.slots)
+            server.cold_until = max(server.cold_until, told.cold_until)
+            found[told.id] = server
+        self.services[service] = found
+        gone = list(known.values()) if known else []
+        for server in gone:
+            server.gone = True
+            del self.servers[server.number]
+        return gone
+
+    def chill(self, now: float, zone: str, cold: dict[str, float]) -> None:
+        """A zone's evacuation was taken back: its servers may be cold."""
+        for server in self.servers.values():
+            if server.zone == zone:
+                server.cold_until = max(server.cold_until, now + cold.get(server.service, 0.0))
+
+    def expected(self, now: float, server: Server, route: str, start: float) -> float:
+        """Seconds until an answer, if it were sent there now."""
+        usual = self.usual.get(route)
+        each = (usual.time if usual is not None else start) * server.pace
+        return each * max(1.0, (server.busy(now) + 1) / server.slots)
+
+    def choose(
+        self, now: float, service: str, route: str, start: float, homes: frozenset[str], upload: bool,
+        closed: frozenset[str], tried: set[int],
+    ) -> tuple[Server | None, float]:  # fmt: skip
+        """The best server for a request and the time it would take; none where rules and state leave none."""
+        best, least, wait = None, 1e9, 0.0
+        for server in self.services.get(service, {}).values():
+            if (homes and server.region not in homes) or server.number in tried:
+                continue
+            if not server.usable(now, closed):
+                continue
+            took = self.expected(now, server, route, start)
+            score = took
+            if server.zone != self.zone:
+                far = OTHER_REGION if server.region != self.region else OTHER_ZONE
+                score += start * far * (UPLOADS if upload else 1.0)
+            if now < server.suspect_until:
+                score += 10.0
+            score *= 1 + 0.02 * self.random.random()
+            if score < least:
+                best, least, wait = server, score, took
+        return best, wait
+
+    def heard(self, now: float, server: Server, route: str, spent: float, report: tuple[float, ...]) -> None:
+        """An answer: how long it took, and the load that the server told with it."""
+        server.failures, server.suspect_until = 0, 0.0
+        usual = self.usual.get(route)
+        if usual is None:
+            usual = self.usual[route] = Usual(spent)
+        ratio = min(4.0, max(0.25, spent / max(usual.time, 1e-3)))
+        crowd = max(1.0, (server.busy(now) + 1) / server.slots)
+        usual.seen += 1
+        usual.time += max(NEWEST / 5, 1 / (usual.seen + 1)) * (spent / max(1.0, crowd) - usual.time)
+        server.pace += NEWEST * (ratio / crowd - server.pace)
+        if len(report) >= 2:
+            server.running, server.waiting = int(report[0]), int(report[1])
+            server.told_out, server.told_at = server.out, now
+
+    def failed(self, now: float, server: Server) -> None:
+        server.failures += 1
+        server.suspect_until = now + min(MOST_SUSPECT, SUSPECT * 2 ** (server.failures - 1))
--- /dev/null
+++ b/hive/door.py
@@ -0,0 +1,305 @@
+"""One door: its parts wired together, started, told what is new, drained."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import secrets
+import time
+import zlib
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from comb.copies import WORD, Item, Save
+from comb.store import Store, StoreError
+from comb.word import Word, read
+from forage.fleet import Fleet
+from forage.gate import Forager, Granted, Lapsed, Tick
+from hive.desk import Desk
+from hive.front import Carrier, Front
+from hive.log import log
+from hive.mesh import Mesh
+from hive.platform import Platform, PlatformError
+from hive.servers import Servers
+from hive.settings import Address, Settings
+from ivymux.config import Address as Place
+from ivymux.metrics import Counts
+from nectar.credits import Call
+from queenless.core import Changed, Core, Deed, Lent, Mark, Poll, Refused, Send, Start
+from queenless.orders import Done
+from swarm.peers import About
+from waggle.news import parse
+
+TICK = 0.05  # seconds: an eighth of a beat, and well under the time for a lease's call
+CONNECT = 0.3  # seconds for a connection to a server: a lost opening packet comes again only after a second
+IDLE = 9.0  # seconds that servers keep idle connections at least, where they do not say
+STALE = 0.9  # part of the time for a revocation after which keyed requests stop where nothing fresh was heard
+UNREADY = 0.5  # part of it after which clients are sent elsewhere
+OTHER_FILES = 400  # descriptors for files, calls and messages
+LINGER = 1.5  # seconds after SIGTERM in which clients that do not know yet still come
+LAST = 0.5  # seconds before the end of the grace period at which this process ends
+
+Reply = Callable[[bool, str, bytes], None]
+
+
+class Door:
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.loop = asyncio.get_running_loop()
+        self.counts = Counts()
+        self.life = secrets.randbits(40)
+        self.store = Store(settings.folder) if settings.folder else None
+        self.disk = ThreadPoolExecutor(1, thread_name_prefix="comb") if self.store is not None else None
+        self.word: Word | None = None
+        self.token = 0
+        self.replies: dict[int, Reply] = {}
+        self.draining = False
+        self.platform = Platform(settings.platform)
+        self.tasks: set[asyncio.Task[Any]] = set()
+        most = settings.descriptors - OTHER_FILES
+        fleet = Fleet(settings.zone, settings.region, settings.zones, random.Random(self.life))
+        self.forager = Forager(settings.rule, fleet, self.life)
+        self.servers = Servers(CONNECT, IDLE, most // 3, self.counts)
+        self.carrier = Carrier(self.forager, self.servers, self.counts, self.lease)
+        self.front = Front(settings.front, self.carrier, most // 2, self.fresh)
+        self.mesh = Mesh(settings.ip, settings.port, self.heard)
+        self.desks = self.make_desks(settings)
+        self.core: Core
+
+    def make_desks(self, settings: Settings) -> list[Desk]:
+        """A desk for each address that calls come to; one that serves two roles takes both kinds."""
+        roles: dict[Address, set[str]] = {}
+        for address, role in (
+            (settings.readiness, "ready"), (settings.control, "control"), (settings.directory, "directory"),
+        ):  # fmt: skip
+            roles.setdefault(address, set()).add(role)
+        return [Desk(address, self, frozenset(of)) for address, of in roles.items()]
+
+    # --- start ------------------------------------------------------------------------------------------
+
+    async def start(self) -> None:
+        settings = self.settings
+        about = About(settings.ip, settings.zone, settings.region, self.store is not None, self.life)
+        start = Start(about, list(settings.seeds), settings.first)
+        if self.store is not None:
+            try:
+                items, marks = await self.loop.run_in_executor(self.disk, self.store.load)
+                start.kept, start.voice = items, "voice" in marks
+                start.core = json.loads(marks.get("core", b"[]"))
+                for what in self.store.aside:
+                    log.say("comb", "put aside what could not be read", what=what)
+            except (StoreError, ValueError) as error:
+                log.say("comb", "starts with an empty disk", error=error)
+        self.core = Core(self.loop.time(), start, settings.rule.quota.window, self.limit_of)
+        for item in start.kept:
+            self.changed(item.key)
+        await self.mesh.start()
+        for listener in [*self.desks, self.front]:
+            await listener.start()
+        log.say("hive", "started", name=settings.name, disk=about.disk, first=settings.first, kept=len(start.kept))
+        self.tick()
+
+    def limit_of(self, tenant: str) -> float:
+        found = self.word.tenants.get(tenant) if self.word is not None else None
+        if found is None or found.rate <= 0:
+            return 0.0
+        return self.settings.rule.quota.limit(found.rate, found.burst)
+
+    # --- time and messages ----------------------------------------------------------------------------------
+
+    def tick(self) -> None:
+        now = self.loop.time()
+        self.core.ready = self.ready()
+        self.carry_out(self.core.tick(now))
+        self.freshen(now)
+        self.forager.doors = max(1, len(self.core.peers.roster))
+        self.carrier.post(Tick())  # type: ignore[arg-type]
+        self.timer = self.loop.call_later(TICK, self.tick)
+
+    def heard(self, source: str, message: dict[str, Any]) -> None:
+        now = self.loop.time()
+        self.carry_out(self.core.heard(now, source, message))
+        self.freshen(now)
+
+    def freshen(self, now: float) -> None:
+        self.forager.fresh_until = self.core.fresh_at(now) + STALE * self.settings.revocation
+
+    def fresh(self) -> bool:
+        return self.loop.time() <= self.forager.fresh_until
+
+    def ready(self) -> bool:
+        """Whether clients may come: there is a configuration, servers are known, and the core was heard."""
+        sure = self.core.fresh_at(self.loop.time()) + UNREADY * self.settings.revocation
+        known = self.word is not None and bool(self.core.news.tables)
+        return known and not self.draining and self.loop.time() <= sure
+
+    def carry_out(self, deeds: list[Deed]) -> None:
+        for deed in deeds:
+            match deed:
+                case Send():
+                    self.mesh.send(deed.to, deed.message)
+                case Save():
+                    self.task(self.save(deed.item))
+                case Mark():
+                    self.task(self.mark(deed))
+                case Changed():
+                    self.changed(deed.what)
+                case Poll():
+                    self.task(self.poll())
+                case Lent():
+                    granted = Granted(deed.tenant, deed.number, deed.units, deed.left, deed.filled)
+                    self.carrier.post(granted)  # type: ignore[arg-type]
+                case Refused():
+                    self.carrier.post(Lapsed(deed.tenant))  # type: ignore[arg-type]
+                case Done():
+                    self.done(deed)
+
+    def task(self, work: Any) -> None:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.ended)
+
+    def ended(self, task: asyncio.Task[Any]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            log.say("hive", "a task failed", error=f"{type(error).__name__}: {error}")
+
+    # --- the operator's word -----------------------------------------------------------------------------------
+
+    async def save(self, item: Item) -> None:
+        assert self.store is not None and self.disk is not None
+        try:
+            await self.loop.run_in_executor(self.disk, self.store.save, [item], {})
+            good = True
+        except StoreError as error:
+            log.say("comb", "could not save", key=item.key, number=item.stamp[0], error=error)
+            good = False
+        self.carry_out(self.core.saved(self.loop.time(), item, good))
+
+    async def mark(self, mark: Mark) -> None:
+        assert self.store is not None and self.disk is not None
+        try:
+            await self.loop.run_in_executor(self.disk, self.store.save, [], {mark.name: mark.body})
+        except StoreError as error:
+            log.say("comb", "could not mark", name=mark.name, error=error)
+            if mark.name == "voice":
+                self.core.marked = False
+
+    def changed(self, what: str) -> None:
+        now = self.loop.time()
+        if what == WORD:
+            item = self.core.copies.seen[WORD]
+            self.word = read(zlib.decompress(item.blob))
+            self.front.take_word(self.word)
+            self.forager.take_word(self.word)
+            log.say("comb", "uses a configuration", number=self.word.number)
+        elif what.startswith("service:"):
+            service = what.partition(":")[2]
+            for server in self.forager.listed(now, service, self.core.news.tables[service].servers.values()):
+                self.servers.remove(server.number)
+            for server in self.forager.fleet.services[service].values():
+                host, _, port = server.address.rpartition(":")
+                self.servers.place(server.number, Place(host, int(port)), 0.0)
+        else:
+            self.forager.close(now, self.core.copies.zones())
+            log.say("comb", "closed zones", zones=",".join(sorted(self.core.copies.zones())) or "none")
+
+    def order(self, begin: Callable[[int], list[Deed]], reply: Reply) -> None:
+        self.token += 1
+        self.replies[self.token] = reply
+        self.carry_out(begin(self.token))
+
+    def put(self, body: bytes, done: Reply) -> None:
+        self.order(lambda token: self.core.put(self.loop.time(), token, body), done)
+
+    def read(self, done: Reply) -> None:
+        self.order(lambda token: self.core.read(self.loop.time(), token), done)
+
+    def evacuate(self, zone: str, closed: bool, done: Reply) -> None:
+        self.order(lambda token: self.core.evacuate(self.loop.time(), token, zone, closed), done)
+
+    def done(self, deed: Done) -> None:
+        reply = self.replies.pop(deed.token)
+        if not deed.good:
+            log.say("desk", "could not settle an order", why=deed.why)
+            reply(False, deed.why, b"")
+        elif deed.item is not None:
+            reply(True, "", zlib.decompress(deed.item.blob))
+        else:
+            reply(True, "", b"")
+
+    # --- others ---------------------------------------------------------------------------------------------
+
+    async def poll(self) -> None:
+        found = None
+        try:
+            pages = await self.platform.pages()
+            found = parse(pages, self.loop.time())
+        except (PlatformError, ValueError) as error:
+            log.say("waggle", "could not read the list", error=error)
+        self.carry_out(self.core.listed(self.loop.time(), int(time.time() * 1000), found))
+
+    def lease(self, call: Call) -> None:
+        self.carry_out(self.core.lease(self.loop.time(), call.tenant, call.number, call.units))
+
+    def zone_known(self, zone: str) -> bool:
+        return zone in self.settings.zones
+
+    @property
+    def lifetime(self) -> float:
+        return min(2.0, self.settings.lifetime)
+
+    def lookup(self, zone: str, region: str) -> list[str]:
+        """Doors for a client: those of its zone, of its region where fewer than two are ready, else all."""
+        peers = self.core.peers
+        found = peers.doors(zone=zone)
+        if len(found) < 2:
+            found = peers.doors(region=region) or peers.doors()
+        return [f"{ip}:{self.settings.front.port}" for ip in found[:64]]
+
+    def status(self) -> dict[str, Any]:
+        now, core = self.loop.time(), self.core
+        return {
+            "name": self.settings.name,
+            "ready": self.ready(),
+            "configuration": self.word.number if self.word is not None else None,
+            "closedZones": sorted(core.copies.zones()),
+            "core": {ip: core.peers.alive(now, ip) for ip in sorted(core.peers.core)},
+            "voice": core.voice,
+            "doors": [row[0] for row in core.peers.roster if row[5]],
+            "freshForS": round(self.forager.fresh_until - now, 2),
+            "servers": {service: len(table.servers) for service, table in core.news.tables.items()},
+        }
+
+    # --- the end -----------------------------------------------------------------------------------------------
+
+    async def drain(self) -> None:
+        """Leave in order: clients are sent elsewhere, duties go to others, what is held is finished."""
+        began = self.loop.time()
+        self.draining = True
+        self.carry_out(self.core.drain(began))
+        log.say("hive", "drains", open=self.carrier.waiting)
+        await asyncio.sleep(LINGER)
+        self.front.stop_listening()
+        self.front.close_idle()
+        while self.carrier.waiting and self.loop.time() - began < self.settings.grace - LAST:
+            await asyncio.sleep(0.02)
+        log.say("hive", "ends", open=self.carrier.waiting)
+        await self.close()
+
+    async def close(self) -> None:
+        self.timer.cancel()
+        self.front.close()
+        for desk in self.desks:
+            desk.stop_listening()
+            desk.close()
+        await asyncio.sleep(0.05)  # the last answers leave
+        self.mesh.close()
+        self.platform.close()
+        self.servers.close()
+        for task in self.tasks:
+            task.cancel()
+        if self.store is not None and self.disk is not None:
+            self.disk.shutdown(wait=False, cancel_futures=True)
--- /dev/null
+++ b/hive/front.py
@@ -0,0 +1,213 @@
+"""Clients of the door: routes and keys on the way in, a server's own answer on the way out."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, cast
+
+import httptools
+
+from comb.word import Route, Tenant, Word
+from forage.gate import Asked, Deny, Forager, Forget, Lease
+from hive.servers import Reply, Servers, Stream, Try, promise_kept, status_line
+from hive.settings import Address
+from ivymux.caller import HOP_BY_HOP, LEAST_ADVICE, MOST_HELD, BadRequest, Client, Exchange, Listener
+from ivymux.host import Answer, Host, Open
+from ivymux.link import Attempt, Flow, Result, Sink
+from ivymux.metrics import Counts
+from nectar.credits import Call
+from orchidhill import interface as i
+
+ID, LEFT = b"x-hazelspring-attempt-id", b"x-hazelspring-remaining-milliseconds"
+TENANT, EXPECTED = b"x-hazelspring-tenant-name", b"x-hazelspring-expected-instance"
+SINGLE = frozenset((ID, LEFT, b"host", b"authorization", b"content-length"))
+OURS = HOP_BY_HOP | {LEFT, TENANT, EXPECTED, b"authorization"}  # never passed on as they came
+UNKNOWN = 0.25  # seconds after which to come again where no configuration is known yet
+BEARER = b"bearer "
+
+
+@dataclass(slots=True)
+class Final(Answer):
+    """A final answer; `headers` are a server's."""
+
+    headers: bytes = b""
+
+
+def encode(answer: Answer, close: bool) -> bytes:
+    head = status_line(answer.status) + b"Content-Length: %d\r\n" % len(answer.body)
+    if isinstance(answer, Final):
+        head += answer.headers
+    if answer.retry_after > 0:
+        head += b"Retry-After: %.3f\r\n" % max(answer.retry_after, LEAST_ADVICE)
+    if close:
+        head += b"Connection: close\r\n"
+    return head + b"\r\n" + answer.body
+
+
+def flow_head(flow: Flow, chunked: bool, close: bool) -> bytes:
+    head = status_line(200) + cast(Stream, flow).headers
+    if flow.length is not None:
+        head += b"Content-Length: %d\r\n" % flow.length
+    elif chunked:
+        head += b"Transfer-Encoding: chunked\r\n"
+    return head + (b"Connection: close\r\n\r\n" if close else b"\r\n")
+
+
+class Carrier(Host[Forager]):
+    """Drives the Forager: its events and actions are those of the front door in service, and a few more."""
+
+    def __init__(self, forager: Forager, servers: Servers, counts: Counts, lease: Callable[[Call], None]) -> None:
+        super().__init__(forager, servers, counts)
+        self.lease = lease
+
+    def clock(self) -> float:
+        self.now = time.monotonic()
+        return self.now
+
+    def carry_out(self, action: Any) -> None:
+        match action:
+            case Lease():
+                self.lease(action.call)
+            case Deny():
+                self.end(action.request, Final(429, retry_after=action.retry_after))
+            case i.Fail():
+                self.fail(action.request)
+            case Forget():
+                self.upstream.remove(action.server.number)
+            case _:
+                super().carry_out(action)
+
+    def fail(self, number: int) -> None:
+        """The server's own answer where there is one; else one that promises nothing."""
+        request = self.table.get(number)
+        reply = request.last if request is not None else None
+        if isinstance(reply, Reply):
+            self.end(number, Final(promise_kept(reply), reply.body, headers=reply.headers))
+        else:
+            self.end(number, Final(502))
+
+    def attempt(
+        self, request: Open, payload: bytes, done: Callable[[Result], None], begun: Callable[[Flow], Sink | None]
+    ) -> Attempt:
+        def ended(result: Result) -> None:
+            if isinstance(result, Reply) and result.outcome is i.Outcome.ERROR:
+                request.last = result
+            done(result)
+
+        return Try(request.mark, payload, ended, begun, request.upload)
+
+    def served(self, result: Result) -> Answer:
+        reply = cast(Reply, result)
+        return Final(reply.status, reply.body, headers=reply.headers)
+
+
+class Visitor(Client):
+    """One client connection."""
+
+    __slots__ = ()
+
+    def take(self, exchange: Exchange) -> None:
+        front = cast(Front, self.server)
+        if exchange.client.surplus:
+            exchange.keep_alive = False
+            exchange.reply(Final(503, retry_after=UNKNOWN))
+            return
+        try:
+            path = httptools.parse_url(self.url).path or b"/"
+        except httptools.HttpParserInvalidURLError:
+            raise BadRequest("malformed target") from None
+        headers = dict(self.headers)
+        if len(headers) != len(self.headers):
+            self.no_repeats()
+        word = front.word
+        if word is None:
+            exchange.reply(Final(503, retry_after=UNKNOWN))
+            return
+        host = headers.get(b"host", b"").decode("latin-1").lower()
+        route = word.route(host, path.decode("latin-1")) or word.route(host.rpartition(":")[0], path.decode("latin-1"))
+        if route is None:
+            raise BadRequest("no such route", 404)
+        tenant = self.tenant(word, route, headers.get(b"authorization", b""))
+        if tenant is None and not route.open and word.tenants:
+            if not front.fresh():
+                exchange.reply(Final(503, retry_after=UNKNOWN))  # the key may be newer than what is known here
+                return
+            raise BadRequest("no such key", 401)
+        id_ = headers.get(ID, b"")
+        if not id_ or len(id_) > 256:
+            raise BadRequest("no X-Hazelspring-Attempt-Id")
+        timeout = route.timeout
+        if (left := headers.get(LEFT)) is not None:
+            if not left.isdigit() or len(left) > 9:
+                raise BadRequest("malformed X-Hazelspring-Remaining-Milliseconds")
+            timeout = min(timeout, int(left) / 1000)
+        self.ask(exchange, front, route, tenant, id_, timeout)
+
+    def tenant(self, word: Word, route: Route, authorization: bytes) -> Tenant | None:
+        if route.open or authorization[: len(BEARER)].lower() != BEARER:
+            return None
+        return word.keys.get(authorization[len(BEARER) :].strip().decode("latin-1"))
+
+    def ask(
+        self, exchange: Exchange, front: Front, route: Route, tenant: Tenant | None, id_: bytes, timeout: float
+    ) -> None:
+        method, body, upload = self.parser.get_method(), b"".join(self.body), exchange.upload
+        if front.held + len(body) > MOST_HELD:
+            exchange.reply(Final(503, retry_after=UNKNOWN))  # nothing has run: memory is bounded
+            return
+        exchange.held = len(body)
+        front.held += len(body)
+        named = dict(self.headers).get(b"connection", b"").lower().split(b",")
+        one = {name.strip() for name in named}
+        head = b"%s %s HTTP/1.1\r\n" % (method, self.url) + b"".join(
+            b"%s: %s\r\n" % pair for pair in self.headers if pair[0] not in OURS and pair[0] not in one
+        )
+        if tenant is not None:
+            head += b"X-Hazelspring-Tenant-Name: %b\r\n" % tenant.name.encode()
+        if upload is not None:
+            head += upload.framing()
+        elif body or method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
+            head += b"Content-Length: %d\r\n" % len(body)
+        servers = front.host.gateway.fleet.servers
+
+        def payload(left: float, backend: int) -> bytes:
+            server = servers.get(backend)
+            life = server.id.encode() if server is not None else b"-"
+            return b"%bX-Hazelspring-Expected-Instance: %b\r\nX-Hazelspring-Remaining-Milliseconds: %d\r\n\r\n%b" % (
+                head, life, max(1, int(left * 1000)), body,
+            )  # fmt: skip
+
+        def make(request: int) -> Any:
+            return Asked(request, route, tenant, timeout, upload is not None)
+
+        exchange.request = front.host.request(make, route.kind, timeout, payload, exchange, upload, id_)
+
+    def no_repeats(self) -> None:
+        seen = set()
+        for name, _ in self.headers:
+            if name in seen and name in SINGLE:
+                raise BadRequest("a header stands twice")
+            seen.add(name)
+
+
+class Front(Listener):
+    """The door's address for clients."""
+
+    encode = staticmethod(encode)
+    flow_head = staticmethod(flow_head)
+    head_status = 431
+    host: Carrier
+
+    def __init__(self, listen: Address, carrier: Carrier, most_clients: int, fresh: Callable[[], bool]) -> None:
+        super().__init__(listen, None, carrier, most_clients)  # type: ignore[arg-type]
+        self.make = Visitor
+        self.word: Word | None = None
+        self.fresh = fresh
+
+    def take_word(self, word: Word) -> None:
+        self.word, limits = word, word.limits
+        self.most_head, self.most_body = limits.head, limits.body
+        self.head_timeout, self.idle_timeout = limits.head_time, limits.idle
+
--- /dev/null
+++ b/hive/log.py
@@ -0,0 +1,49 @@
+"""The log: short sentences by eliot, a fixed prefix for each part, so many a second and no more."""
+
+from __future__ import annotations
+
+import sys
+import time
+from typing import Any
+
+import eliot
+
+MOST = 40  # sentences a second: an error that comes with every request must not fill the log
+
+
+class Log:
+    """Writes to standard error; what is too much for a second is counted, and said with the next sentence."""
+
+    def __init__(self) -> None:
+        self.second, self.said, self.left_out = 0, 0, 0
+
+    def say(self, part: str, sentence: str, **fields: Any) -> None:
+        second = int(time.monotonic())
+        if second != self.second:
+            self.second, self.said = second, 0
+        self.said += 1
+        if self.said > MOST:
+            self.left_out += 1
+            return
+        if self.left_out:
+            fields["left_out"], self.left_out = self.left_out, 0
+        eliot.log_message(message_type=part, say=sentence, **fields)
+
+
+class Lines:
+    """eliot's destination: one plain line a message, `PART sentence field=value`."""
+
+    def __call__(self, message: dict[str, Any]) -> None:
+        rest = " ".join(
+            f"{key}={value}" for key, value in message.items()
+            if key not in ("message_type", "say", "task_uuid", "task_level", "timestamp")
+        )  # fmt: skip
+        line = f"{message.get('message_type', 'hive')}: {message.get('say', '')} {rest}".rstrip()
+        sys.stderr.write(line.replace("\n", " ") + "\n")
+
+
+log = Log()
+
+
+def start() -> None:
+    eliot.add_destinations(Lines())
--- a/ivymux/caller.py
+++ b/ivymux/caller.py
@@ -34,9 +34,15 @@
 SWEEP = 0.25  # seconds between looks at how long connections have been silent
 
 REASONS = {
-    200: "OK", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout", 413: "Content Too Large",
-    417: "Expectation Failed", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
+    200: "OK", 400: "Bad Request", 401: "Unauthorized", 404: "Not Found", 405: "Method Not Allowed",
+    408: "Request Timeout", 413: "Content Too Large", 417: "Expectation Failed", 429: "Too Many Requests",
+    431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
+    503: "Service Unavailable", 504: "Gateway Timeout",
 }  # fmt: skip
+HOP_BY_HOP = frozenset(
+    b"connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer"
+    b" transfer-encoding upgrade expect content-length".split()
+)
 
 log = logging.getLogger(__name__)
 
--- a/ivymux/host.py
+++ b/ivymux/host.py
@@ -9,16 +9,18 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Generic, Protocol, TypeVar
+from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 from ivymux.config import Address
-from ivymux.counter import Counter
 from ivymux.link import Attempt, Body, Flow, Result, Sink
 from ivymux.metrics import Counts
 from ivymux.upstream import Upstream
 from orchidhill import interface as i
 from orchidhill.interface import Outcome, State
 
+if TYPE_CHECKING:
+    from ivymux.counter import Counter
+
 ATTEMPT_MARGIN = 0.030  # seconds before the client's deadline at which an attempt is given up
 OUTCOMES = {200: "served", 503: "refused"}  # of requests, by the answer's status; any other: failed
 GUARD_MARGIN = 0.015  # and at which the request is answered whatever the module does
@@ -61,6 +63,8 @@
     limits: i.Limits  # those that held when it came
     upload: Upload | None
     label: str  # its class's, where it is counted
+    mark: bytes = b""  # what its answer must bear
+    last: Result | None = None  # the last answer of a server that was no success, where one is kept
     end: float = math.inf  # monotonic time at which its client gives up; its last byte has yet to come
     guard: asyncio.TimerHandle | None = None
     flow: Flow | None = None  # the answer that is being passed on
@@ -159,10 +163,11 @@
         payload: Callable[[float, int], bytes],
         caller: Caller,
         upload: Upload | None = None,
+        mark: bytes = b"",
     ) -> Open:
         self.number += 1
         event = make(self.number)
-        request = Open(self.number, payload, caller, timeout, self.limits, upload, self.counts.label(name))
+        request = Open(self.number, payload, caller, timeout, self.limits, upload, self.counts.label(name), mark)
         self.table[request.number] = request
         self.waiting += 1
         if upload is None:
--- a/ivymux/server.py
+++ b/ivymux/server.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from ivymux.caller import MOST_HELD, BadRequest, Client, Exchange, Listener
+from ivymux.caller import HOP_BY_HOP, MOST_HELD, BadRequest, Client, Exchange, Listener
 from ivymux.config import Config
 from ivymux.host import Answer, Host
 from orchidhill import interface as i
@@ -18,10 +18,7 @@
 
 MOST_TIMEOUT = 600.0  # seconds that a request is held, whatever its client would wait
 FADE = 2.0  # seconds after a reload in which classes are also taken as they were before it
-HOP_BY_HOP = frozenset(
-    b"connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer"
-    b" transfer-encoding upgrade expect content-length request-timeout".split()
-)
+OURS = HOP_BY_HOP | {b"request-timeout"}  # headers that are not passed on as they came
 SINGLE = frozenset(
     b"request-id request-class x-tier request-timeout idempotency-key x-call-terms content-length host"
     b" client-retry".split()
@@ -104,7 +101,7 @@
         exchange.held = len(body)
         server.held += len(body)
         head = b"%s %s HTTP/1.1\r\n" % (method, self.url) + b"".join(
-            b"%s: %s\r\n" % pair for pair in self.headers if pair[0] not in HOP_BY_HOP
+            b"%s: %s\r\n" % pair for pair in self.headers if pair[0] not in OURS
         )
         if upload is not None:
             head += upload.framing()
--- /dev/null
+++ b/nectar/counter.py
@@ -0,0 +1,42 @@
+"""The counters of the tenants that this door owns for now: batches added to a window, and what exceeds it denied."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+FORGET = 30.0  # windows without a call after which a counter is dropped
+
+
+@dataclass(slots=True)
+class Count:
+    window: int
+    total: float = 0.0
+
+
+class Counter:
+    """Batches are granted from the window at hand and die at its edge, or with the owner's lease if that is sooner."""
+
+    def __init__(self, length: float) -> None:
+        self.length = length
+        self.counts: dict[str, Count] = {}
+
+    def lease(self, now: float, until: float, tenant: str, units: float, limit: float) -> tuple[float, float, float]:
+        """Add a batch, or give one back (negative): what is granted, for how many seconds, and the part of the
+        window's limit that is out."""
+        window = math.floor(now / self.length)
+        count = self.counts.get(tenant)
+        if count is None or count.window != window:
+            count = self.counts[tenant] = Count(window)
+        left = min((window + 1) * self.length, until) - now
+        if units < 0:
+            count.total = max(0.0, count.total + units)
+            return 0.0, left, count.total / max(1.0, limit)
+        granted = max(0.0, min(units, limit - count.total)) if left > 0 else 0.0
+        count.total += granted
+        return granted, max(0.0, left), count.total / max(1.0, limit)
+
+    def sweep(self, now: float) -> None:
+        before = math.floor(now / self.length) - FORGET
+        for tenant in [t for t, count in self.counts.items() if count.window < before]:
+            del self.counts[tenant]
--- a/orchidhill/policy/__init__.py
+++ b/orchidhill/policy/__init__.py
@@ -7,6 +7,7 @@
     pace       how many counter calls may be made                      asks nobody
     servers    what is known of each alert server and of all           asks nobody
     records    the rows that rooms keep: lease, backend, job; whose they are
+    sizing     the step by which the size of leases is learned
     turn       the time, the settings and the actions of the event at hand
 
 What happens to a request, rung by rung; each has its final answer from the rung on which it stops:
--- a/orchidhill/policy/quotas.py
+++ b/orchidhill/policy/quotas.py
@@ -11,10 +11,9 @@
 from orchidhill.policy.pace import Pace
 from orchidhill.policy.records import Job, Lease
 from orchidhill.policy.servers import Servers
+from orchidhill.policy.sizing import step
 from orchidhill.policy.turn import EPS, FORGET, NEWEST, RATE_SPAN, TICK, Turn, mix
 
-LEARN_RATE = 0.5  # AdaGrad step on ln(batch)
-STRAND_FLOOR = 0.5  # least strand penalty, in counter calls: nothing is stranded for free
 IDLE_SHARE = 0.25  # credit idle for this part of its window goes back
 UNASKED = 0.8  # strain from which only what the counter granted is let in
 
@@ -128,14 +127,8 @@
         lease.owed = float(lease.in_use) if lease.slots else min(lease.owed, lease.base)
 
     def learn(self, lease: Lease) -> None:
-        """One AdaGrad step on ln b of orderCost*D/b + strandPenalty*b/2 (optimum sqrt(2*o*D/s))."""
-        price = max(self.turn.settings.counter_price, 1e-3)
-        strand = max(STRAND_FLOOR * price, min(1.0, lease.total / lease.base) ** 8)  # dear in a full window
-        batch = math.exp(lease.size)
-        gradient = (strand * batch / 2 - price * lease.served / batch) / price
-        lease.slope += gradient * gradient
-        lease.size -= LEARN_RATE * gradient / math.sqrt(lease.slope)
-        lease.size = min(max(lease.size, 0.0), math.log(max(1.0, lease.base)))
+        price, filled = max(self.turn.settings.counter_price, 1e-3), lease.total / lease.base
+        lease.size, lease.slope = step(lease.size, lease.slope, lease.served, filled, price, lease.base)
 
     def ask(self, lease: Lease) -> None:
         """Lease a batch, unless one is in flight: further shortfalls await that one."""
--- /dev/null
+++ b/queenless/__init__.py
@@ -0,0 +1,1 @@
+"""queenless: one door's core, which brings swarm, comb, waggle and nectar together; no door leads."""
--- /dev/null
+++ b/queenless/core.py
@@ -0,0 +1,512 @@
+"""One door's core: beats, the operator's word, duties and news.  Messages and times in, messages and deeds out."""
+
+from __future__ import annotations
+
+import json
+import zlib
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from comb.copies import NEVER, WORD, Copies, Item, Save, voices_needed
+from comb.word import digest, number_of
+from nectar.counter import Counter
+from queenless.orders import Copy, Done, Order, Orders
+from swarm.duties import Granter, Hold
+from swarm.peers import About, Peers
+from swarm.rendezvous import owners, shard
+from waggle.news import News, Server, home
+
+NEAR_BEAT = 0.4  # seconds between beats inside a region, and between core doors, whose leases live on them
+FAR_BEAT = 0.8  # between regions, where bytes are dear
+LIST = 0  # the duty of asking the platform
+SHARDS = 8  # of tenants; fixed, as two doors that differ in it would both own a tenant
+POLL = 0.5  # seconds between looks at the platform's list
+ASK_AGAIN = 0.3  # seconds until what was asked for is asked for again, of another door
+QUIET = 1.5  # seconds without a new core door, at the first start, before the core counts as known
+
+Message = dict[str, Any]
+
+
+@dataclass(slots=True, frozen=True)
+class Send:
+    to: str
+    message: Message
+
+
+@dataclass(slots=True, frozen=True)
+class Mark:
+    """A mark to be put on disk."""
+
+    name: str
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Poll:
+    """The platform's list is to be read; `Core.listed` wants to hear of it."""
+
+
+@dataclass(slots=True, frozen=True)
+class Changed:
+    """Something is seen anew: the key of an item, or `service:NAME`."""
+
+    what: str
+
+
+@dataclass(slots=True, frozen=True)
+class Lent:
+    """The counter's answer to a lease of this door."""
+
+    tenant: str
+    number: int
+    units: float
+    left: float
+    filled: float
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """No counter answers for the tenant."""
+
+    tenant: str
+
+
+Deed = Send | Save | Mark | Poll | Done | Changed | Lent | Refused
+
+
+@dataclass(slots=True)
+class Start:
+    """What a door knows at its start."""
+
+    about: About
+    seeds: list[str]
+    first: bool  # the whole system starts for the first time
+    kept: list[Item] = field(default_factory=list)
+    voice: bool = False  # a mark on disk says so
+    core: list[list[Any]] = field(default_factory=list)  # as a mark on disk says
+
+
+class Core:
+    """`limit` gives a tenant's limit for one window, as the configuration at hand has it."""
+
+    def __init__(self, now: float, start: Start, window: float, limit: Callable[[str], float]) -> None:
+        self.me, self.seeds, self.first, self.began = start.about, start.seeds, start.first, now
+        self.peers = Peers(start.about, now)
+        self.copies = Copies(start.about.disk, start.kept)
+        self.voice = start.about.disk and (start.first or start.voice)
+        self.marked = start.voice
+        for row in start.core:
+            self.peers.meet(now - QUIET, About(*row))
+        self.orders = Orders(self.peers, self.copies, start.about.life)
+        self.granter = Granter(now, start.first)
+        self.holds: dict[int, Hold] = {}
+        self.counter, self.limit = Counter(window), limit
+        self.news = News()
+        self.ready = False
+        self.draining = False
+        self.polled_at, self.polling = -1e9, False
+        self.asked: dict[str, tuple[float, int]] = {}  # what was asked for, when, and how often
+        self.owed: dict[str, list[tuple[str, Item]]] = {}  # who waits for an item to be on this disk
+        self.deeds: list[Deed] = []
+
+    # --- what others of this process ask ---------------------------------------------------------------
+
+    def settled(self, now: float) -> bool:
+        """Whether the core is known; at the first start doors with a disk are still being met."""
+        quiet = not self.first or now - max(self.peers.grown_at, self.began) > QUIET
+        return quiet and bool(self.peers.core)
+
+    def fresh_at(self, now: float) -> float:
+        """Every change acknowledged up to then is seen here."""
+        seen = self.copies.seen
+        times = [now] if self.voice and self.copies_on_disk() else []
+        for ip in self.peers.core:
+            peer = self.peers.peers.get(ip)
+            if peer is not None and peer.voice and ip != self.me.ip:
+                if all(stamp <= self.stamp_seen(key) for key, stamp in peer.stamps.items()):
+                    times.append(peer.asked_at)
+        needed = voices_needed(len(self.peers.core))
+        return sorted(times, reverse=True)[needed - 1] if len(times) >= needed and seen else -1e9
+
+    def stamp_seen(self, key: str) -> tuple[int, bytes]:
+        return self.copies.stamp(key)
+
+    def copies_on_disk(self) -> bool:
+        return all(stamp <= self.copies.stamp(key) for key, stamp in self.copies.kept.items())
+
+    def put(self, now: float, token: int, body: bytes) -> list[Deed]:
+        """An operator's configuration that `comb.check` has let pass."""
+        number = number_of(json.loads(body)["versionNumber"])
+        item = Item(WORD, (number, digest(body)), zlib.compress(body, 6))
+        return self.order(now, Order(token, now, wanted=item))
+
+    def evacuate(self, now: float, token: int, zone: str, closed: bool) -> list[Deed]:
+        return self.order(now, Order(token, now, zone=zone, closed=closed))
+
+    def read(self, now: float, token: int) -> list[Deed]:
+        return self.order(now, Order(token, now))
+
+    def order(self, now: float, order: Order) -> list[Deed]:
+        self.deeds = []
+        self.orders.begin(order)
+        for ip in self.peers.others():
+            self.beat(now, ip)
+        self.advance(now)
+        return self.deeds
+
+    # --- time -----------------------------------------------------------------------------------------
+
+    def tick(self, now: float) -> list[Deed]:
+        self.deeds = []
+        self.deeds += self.copies.unsaved()
+        for ip in self.peers.others():
+            about = self.peers.core[ip]
+            near = about.region == self.me.region or self.me.disk
+            if now - self.sent_at(ip) >= (NEAR_BEAT if near else FAR_BEAT) - 0.01:
+                self.beat(now, ip)
+        heard = any(self.peers.alive(now, ip) for ip in self.peers.others())
+        if not heard or (self.first and not self.settled(now)):
+            for ip in self.seeds:
+                if ip != self.me.ip and ip not in self.peers.core and now - self.sent_at(ip) >= NEAR_BEAT - 0.01:
+                    self.beat(now, ip)
+        self.duties(now)
+        if self.me.disk:
+            self.peers.note(now, self.me, self.ready)
+            self.peers.make_roster(now)
+            self.counter.sweep(now)
+        self.mend(now)
+        self.speak_up()
+        self.advance(now)
+        return self.deeds
+
+    def sent_at(self, ip: str) -> float:
+        peer = self.peers.peers.get(ip)
+        return peer.sent_at if peer is not None else self.asked.get(f"beat {ip}", (-1e9, 0))[0]
+
+    def beat(self, now: float, ip: str) -> None:
+        peer = self.peers.peers.get(ip)
+        if peer is not None:
+            peer.sent_at = now
+        else:
+            self.asked[f"beat {ip}"] = (now, 0)
+        nearest = next(iter(self.peers.others()), None)
+        message = {
+            "k": "beat", "a": self.me.row(), "r": self.ready and not self.draining, "t": now,
+            "c": len(self.peers.core),
+        }  # fmt: skip
+        if self.me.disk:
+            message["w"] = self.wanted(now)
+            message["h"] = dict(self.copies.held())
+            message["v"] = self.voice
+        elif ip == nearest or nearest is None:
+            message["s"] = self.peers.roster_sum
+        self.deeds.append(Send(ip, message))
+
+    def speak_up(self) -> None:
+        """An empty disk's voice counts once it holds all that enough voices have told."""
+        if not self.me.disk:
+            return
+        if not self.voice and len(self.peers.core) > 1:
+            needed = voices_needed(len(self.peers.core))
+            self.voice = self.peers.told(self.began, self.copies.kept) >= needed
+        if self.voice and not self.marked:
+            self.marked = True
+            self.deeds.append(Mark("voice", b"1"))
+
+    def advance(self, now: float) -> None:
+        if not self.orders.open:
+            return
+        for action in self.orders.step(now, self.voice, self.settled(now), WORD):
+            if isinstance(action, Copy):
+                self.deeds.append(Send(action.to, {"k": "keep", "i": self.pack(action.item)}))
+            else:
+                self.deeds.append(action)
+        for order in self.orders.open.values():
+            if order.target is not None and self.me.disk:
+                self.take(order.target, elsewhere=False)
+
+    def mend(self, now: float) -> None:
+        """Ask for what others told of and this door lacks."""
+        for ip in self.peers.core:
+            peer = self.peers.peers.get(ip)
+            if peer is None or ip == self.me.ip:
+                continue
+            for key, stamp in peer.stamps.items():
+                if stamp > max(self.copies.stamp(key), NEVER):
+                    self.ask(now, key, stamp)
+            for service in self.news.newer(peer.news):
+                self.ask_news(now, service, peer.news[service])
+
+    def ask(self, now: float, key: str, stamp: tuple[int, bytes]) -> None:
+        if key == WORD and self.copies.saving.get(key, NEVER) >= stamp and self.me.disk:
+            return  # it is on its way to this disk
+        have = [ip for ip in self.peers.others() if ip in self.peers.peers]
+        have = [ip for ip in have if self.peers.peers[ip].stamps.get(key, NEVER) >= stamp]
+        self.ask_one(now, f"item {key}", have, {"k": "want", "i": key})
+
+    def ask_news(self, now: float, service: str, version: int) -> None:
+        have = [ip for ip in self.peers.others() if ip in self.peers.peers]
+        have = [ip for ip in have if self.peers.peers[ip].news.get(service, 0) >= version]
+        self.ask_one(now, f"news {service}", have, {"k": "want", "s": service})
+
+    def ask_one(self, now: float, what: str, have: list[str], message: Message) -> None:
+        """Ask the nearest that has it; one that did not answer in time, and the next one, in turn."""
+        at, times = self.asked.get(what, (-1e9, 0))
+        if have and now - at >= ASK_AGAIN:
+            alive = [ip for ip in have if self.peers.alive(now, ip)] or have
+            self.deeds.append(Send(alive[times % len(alive)], message))
+            self.asked[what] = (now, times + 1)
+
+    # --- duties ------------------------------------------------------------------------------------------
+
+    def needed(self) -> int:
+        return len(self.peers.core) // 2 + 1
+
+    def holds_until(self, duty: int) -> float:
+        """Until when this door may do a duty; in the past where it may not."""
+        hold = self.holds.get(duty)
+        return hold.until(self.needed()) if hold is not None else 0.0
+
+    def holder(self, now: float, duty: int) -> str | None:
+        """Who holds a duty, as the core tells; the most that say so."""
+        if self.holds_until(duty) > now:
+            return self.me.ip
+        says: dict[str, int] = {}
+        for ip in self.peers.core:
+            peer = self.peers.peers.get(ip)
+            if peer is not None and self.peers.alive(now, ip):
+                who = peer.holders.get(str(duty))
+                if who is not None and who != self.me.ip:
+                    says[who] = says.get(who, 0) + 1
+        return max(says, key=lambda who: (says[who], who)) if says else None
+
+    def wanted(self, now: float) -> list[int]:
+        """Duties that this door does, or would do: one has no holder that is alive, and it is the first in line."""
+        if self.draining or not self.me.disk or not self.settled(now):
+            return []
+        alive = [ip for ip in self.peers.core if self.peers.alive(now, ip)]
+        found = []
+        for duty in range(SHARDS + 1):
+            if self.holds_until(duty) > now:
+                found.append(duty)
+                continue
+            holder = self.holder(now, duty)
+            if holder is not None and self.peers.alive(now, holder):
+                continue
+            if owners(f"duty {duty}", alive)[0] == self.me.ip:
+                found.append(duty)
+        return found
+
+    def duties(self, now: float) -> None:
+        if not self.me.disk:
+            return
+        for duty in self.wanted(now):
+            if self.granter.ask(now, str(duty), (self.me.ip, self.me.life)):
+                self.holds.setdefault(duty, Hold()).yes[self.me.ip] = now
+        if self.holds_until(LIST) > now and not self.polling and now - self.polled_at >= POLL:
+            self.polling, self.polled_at = True, now
+            self.deeds.append(Poll())
+
+    def drain(self, now: float) -> list[Deed]:
+        """This door leaves in order: its duties go to others at once."""
+        self.deeds = []
+        held = [duty for duty in range(SHARDS + 1) if self.holds_until(duty) > now]
+        self.draining = True
+        self.holds.clear()
+        for duty in held:
+            self.granter.release(str(duty), (self.me.ip, self.me.life))
+        for ip in self.peers.others():
+            self.deeds.append(Send(ip, {"k": "free", "a": self.me.row(), "d": held}))
+        return self.deeds
+
+    # --- news of servers ------------------------------------------------------------------------------------
+
+    def listed(self, now: float, wall_ms: int, found: dict[str, dict[str, Server]] | None) -> list[Deed]:
+        """The platform's list, or that it could not be read."""
+        self.deeds, self.polling = [], False
+        if found is None or self.holds_until(LIST) <= now:
+            return self.deeds
+        for service in self.news.listed(now, wall_ms, found):
+            self.deeds.append(Changed(f"service:{service}"))
+            packed = self.news.pack(now, service)
+            zones = sorted({row[1] for row in self.peers.roster})
+            homes = {home(service, zone, self.peers.doors(zone=zone)) for zone in zones}
+            for ip in sorted({*self.peers.others(), *(h for h in homes if h is not None)} - {self.me.ip}):
+                self.deeds.append(Send(ip, {"k": "news", "n": packed}))
+            self.tell_zone(service, packed)
+        return self.deeds
+
+    def tell_zone(self, service: str, packed: list[Any]) -> None:
+        """The home door tells the others of its zone."""
+        doors = self.peers.doors(zone=self.me.zone)
+        if home(service, self.me.zone, doors) == self.me.ip:
+            self.deeds += [Send(ip, {"k": "news", "n": packed}) for ip in doors if ip != self.me.ip]
+
+    # --- quotas -----------------------------------------------------------------------------------------------
+
+    def lease(self, now: float, tenant: str, number: int, units: float) -> list[Deed]:
+        """A call of this door to the counter of a tenant."""
+        self.deeds = []
+        duty = 1 + shard(tenant, SHARDS)
+        holder = self.holder(now, duty)
+        if holder is None:
+            self.deeds.append(Refused(tenant))
+        elif holder == self.me.ip:
+            granted = self.counter.lease(now, self.holds_until(duty), tenant, units, self.limit(tenant))
+            if units > 0:
+                self.deeds.append(Lent(tenant, number, *granted))
+        else:
+            self.deeds.append(Send(holder, {"k": "lease", "n": tenant, "q": number, "u": units}))
+        return self.deeds
+
+    # --- messages -----------------------------------------------------------------------------------------
+
+    def heard(self, now: float, source: str, message: Message) -> list[Deed]:
+        """A message from another door; one that is malformed raises, and changes at most soft state."""
+        self.deeds = []
+        match message["k"]:
+            case "beat":
+                self.on_beat(now, message)
+            case "echo":
+                self.on_echo(now, message)
+            case "keep":
+                self.on_keep(source, self.unpack(message["i"]))
+            case "kept":
+                peer = self.peers.peers.get(source)
+                if peer is not None:
+                    key, stamp = message["i"], (message["n"][0], message["n"][1])
+                    peer.stamps[key] = max(stamp, peer.stamps.get(key, NEVER))
+            case "want":
+                self.on_want(now, source, message)
+            case "item":
+                self.take(self.unpack(message["i"]), elsewhere=True)
+                self.asked.pop(f"item {message['i'][0]}", None)
+            case "news":
+                service = message["n"][0]
+                if self.news.take(now, message["n"]):
+                    self.asked.pop(f"news {service}", None)
+                    self.deeds.append(Changed(f"service:{service}"))
+                    self.tell_zone(service, self.news.pack(now, service))
+            case "free":
+                about = About(*message["a"])
+                for duty in message["d"]:
+                    self.granter.release(str(duty), (about.ip, about.life))
+                for peer in self.peers.peers.values():
+                    peer.holders = {d: who for d, who in peer.holders.items() if who != about.ip}
+            case "lease":
+                self.on_lease(now, source, message)
+            case "grant":
+                self.deeds.append(Lent(message["n"], message["q"], message["u"], message["l"], message["f"]))
+            case "lost":
+                self.deeds.append(Refused(message["n"]))
+        self.mend(now)
+        self.speak_up()
+        self.advance(now)
+        return self.deeds
+
+    def on_beat(self, now: float, message: Message) -> None:
+        about = About(*message["a"])
+        self.meet(now, about)
+        self.peers.note(now, about, message["r"])
+        mine = self.peers.core
+        echo: Message = {"k": "echo", "a": self.me.row(), "t": message["t"], "v": self.voice}
+        if self.me.disk:
+            echo["h"] = dict(self.copies.held())
+            echo["d"] = self.granter.holders(now)
+            echo["g"] = [
+                duty for duty in message.get("w", ())
+                if self.granter.ask(now, str(duty), (about.ip, about.life))
+            ]  # fmt: skip
+        if self.news.tables:
+            echo["n"] = self.news.versions()
+        if message["c"] != len(mine):
+            echo["c"] = [member.row() for member in mine.values()]
+        if "s" in message and self.me.disk and message["s"] != self.peers.roster_sum:
+            echo["s"] = self.peers.roster
+        self.deeds.append(Send(about.ip, echo))
+
+    def on_echo(self, now: float, message: Message) -> None:
+        about = About(*message["a"])
+        self.meet(now, about)
+        peer = self.peers.peer(about)
+        peer.heard_at, peer.voice = now, message["v"]
+        peer.asked_at = max(peer.asked_at, message["t"])
+        for key, stamp in message.get("h", {}).items():
+            peer.stamps[key] = max((stamp[0], stamp[1]), peer.stamps.get(key, NEVER))
+        peer.news = message.get("n", {})
+        peer.holders = message.get("d", {})
+        for duty in message.get("g", ()):
+            self.holds.setdefault(duty, Hold()).yes[about.ip] = message["t"]
+        for row in message.get("c", ()):
+            self.meet(now, About(*row))
+        if "s" in message and message["s"] != self.peers.roster:
+            self.peers.take_roster(message["s"])
+
+    def meet(self, now: float, about: About) -> None:
+        if self.peers.meet(now, about) and self.me.disk:
+            rows = [member.row() for member in self.peers.core.values()]
+            self.deeds.append(Mark("core", json.dumps(rows).encode()))
+
+    def on_want(self, now: float, source: str, message: Message) -> None:
+        if "i" in message:
+            item = self.copies.seen.get(message["i"])
+            if item is not None and (not self.me.disk or self.copies.kept.get(item.key, NEVER) >= item.stamp):
+                self.deeds.append(Send(source, {"k": "item", "i": self.pack(item)}))
+        elif message["s"] in self.news.tables:
+            self.deeds.append(Send(source, {"k": "news", "n": self.news.pack(now, message["s"])}))
+
+    def on_lease(self, now: float, source: str, message: Message) -> None:
+        tenant, units = message["n"], message["u"]
+        until = self.holds_until(1 + shard(tenant, SHARDS))
+        if until <= now:
+            self.deeds.append(Send(source, {"k": "lost", "n": tenant}))
+            return
+        granted, left, filled = self.counter.lease(now, until, tenant, units, self.limit(tenant))
+        if units > 0:
+            answer = {"k": "grant", "n": tenant, "q": message["q"], "u": granted, "l": left, "f": filled}
+            self.deeds.append(Send(source, answer))
+
+    # --- copies -----------------------------------------------------------------------------------------
+
+    def on_keep(self, source: str, item: Item) -> None:
+        if self.copies.kept.get(item.key, NEVER) >= item.stamp:
+            self.tell_kept(source, item.key)
+            return
+        self.owed.setdefault(item.key, []).append((source, item))
+        del self.owed[item.key][:-16]
+        self.take(item, elsewhere=False)
+
+    def tell_kept(self, to: str, key: str) -> None:
+        self.deeds.append(Send(to, {"k": "kept", "i": key, "n": list(self.copies.kept[key])}))
+
+    def take(self, item: Item, elsewhere: bool) -> None:
+        new, save = self.copies.offer(item, elsewhere)
+        if save is not None:
+            self.deeds.append(save)
+        if new:
+            self.deeds.append(Changed(item.key))
+
+    def saved(self, now: float, item: Item, good: bool) -> list[Deed]:
+        """A save has ended."""
+        self.deeds = []
+        if self.copies.saved(item, good):
+            self.deeds.append(Changed(item.key))
+        if good:
+            waiting = self.owed.pop(item.key, [])
+            for source, wanted in waiting:
+                if self.copies.kept[item.key] >= wanted.stamp:
+                    self.tell_kept(source, item.key)
+                else:
+                    self.owed.setdefault(item.key, []).append((source, wanted))
+        self.advance(now)
+        return self.deeds
+
+    @staticmethod
+    def pack(item: Item) -> list[Any]:
+        return [item.key, item.stamp[0], item.stamp[1], item.blob]
+
+    @staticmethod
+    def unpack(row: Iterable[Any]) -> Item:
+        key, number, tie, blob = row
+        return Item(key, (number, tie), blob)
--- /dev/null
+++ b/swarm/peers.py
@@ -0,0 +1,130 @@
+"""What one door knows of others: who answers, since when, what each has told, and who the core is."""
+
+from __future__ import annotations
+
+import zlib
+from dataclasses import dataclass, field
+from typing import Any
+
+from comb.copies import NEVER
+from comb.word import Stamp
+
+SILENT = 1.3  # seconds without an answer after which a door counts as away: three beats lost and a round trip
+GONE = 3.0  # seconds after which it leaves the roster
+
+
+@dataclass(slots=True, frozen=True)
+class About:
+    """A door: address, place, whether it has a disk, and its life, drawn anew at each start."""
+
+    ip: str
+    zone: str
+    region: str
+    disk: bool
+    life: int
+
+    def row(self) -> list[Any]:
+        return [self.ip, self.zone, self.region, self.disk, self.life]
+
+
+@dataclass(slots=True)
+class Peer:
+    """What another door told of itself."""
+
+    about: About
+    heard_at: float = -1e9  # when it was last heard
+    asked_at: float = -1e9  # when the last beat was sent that it has answered
+    sent_at: float = -1e9  # when the last beat went to it
+    voice: bool = False
+    stamps: dict[str, Stamp] = field(default_factory=dict)
+    news: dict[str, int] = field(default_factory=dict)
+    holders: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Row:
+    """A door in the roster: those that clients may be sent to, and who is home for what."""
+
+    about: About
+    ready: bool
+    heard_at: float
+
+
+class Peers:
+    def __init__(self, me: About, now: float) -> None:
+        self.me = me
+        self.core: dict[str, About] = {me.ip: me} if me.disk else {}
+        self.grown_at = now
+        self.peers: dict[str, Peer] = {}
+        self.rows: dict[str, Row] = {}  # a core door's own roster, from the beats it gets
+        self.roster: list[list[Any]] = []  # as last heard or made: about, ready
+        self.roster_sum = 0
+
+    def peer(self, about: About) -> Peer:
+        found = self.peers.get(about.ip)
+        if found is None:
+            found = self.peers[about.ip] = Peer(about)
+        elif found.about != about:
+            if found.about.life != about.life:  # a new life: what the old one told holds no more
+                found = self.peers[about.ip] = Peer(about, sent_at=found.sent_at)
+            found.about = about
+        return found
+
+    def meet(self, now: float, about: About) -> bool:
+        """A door that was named; whether the core has grown by it."""
+        known = self.core.get(about.ip)
+        if not about.disk:
+            return False
+        if known is None or known.life != about.life:
+            self.core[about.ip] = about
+        if known is None:
+            self.grown_at = now
+        return known is None
+
+    def others(self) -> list[str]:
+        """The core without this door, the near ones first."""
+        me = self.me
+        far = {ip: (a.zone != me.zone) + (a.region != me.region) for ip, a in self.core.items() if ip != me.ip}
+        return sorted(far, key=lambda ip: (far[ip], ip))
+
+    def alive(self, now: float, ip: str) -> bool:
+        peer = self.peers.get(ip)
+        return ip == self.me.ip or (peer is not None and now - peer.heard_at < SILENT)
+
+    def told(self, since: float, needed_stamps: dict[str, Stamp] | None = None) -> int:
+        """Voices that answered a beat sent at `since` or later, and told nothing above the stamps."""
+        count = 0
+        for ip in self.core:
+            peer = self.peers.get(ip)
+            if peer is None or not peer.voice or peer.asked_at < since:
+                continue
+            if needed_stamps is not None and any(
+                stamp > needed_stamps.get(key, NEVER) for key, stamp in peer.stamps.items()
+            ):
+                continue
+            count += 1
+        return count
+
+    def note(self, now: float, about: About, ready: bool) -> None:
+        """A beat has come: a row of the roster."""
+        self.rows[about.ip] = Row(about, ready, now)
+
+    def make_roster(self, now: float) -> None:
+        """The roster of those heard of late, in a settled order."""
+        for ip in [ip for ip, row in self.rows.items() if now - row.heard_at > GONE]:
+            del self.rows[ip]
+        rows = [[*row.about.row(), row.ready] for _, row in sorted(self.rows.items())]
+        if rows != self.roster:
+            self.take_roster(rows)
+
+    def take_roster(self, rows: list[list[Any]]) -> None:
+        self.roster = rows
+        self.roster_sum = zlib.crc32(str(rows).encode())
+
+    def doors(self, zone: str | None = None, region: str | None = None) -> list[str]:
+        """Addresses of ready doors, of a zone or of a region where one is named."""
+        return [
+            row[0]
+            for row in self.roster
+            if row[5] and (zone is None or row[1] == zone) and (region is None or row[2] == region)
+        ]
--- /dev/null
+++ b/waggle/news.py
@@ -0,0 +1,115 @@
+"""Tables of servers, one a service, each with a version; who is home for a service in a zone."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from swarm.rendezvous import owners
+
+
+@dataclass(slots=True, frozen=True)
+class Server:
+    """One life of a server, as the platform lists it; `cold_until` in this door's steady seconds."""
+
+    id: str
+    address: str
+    zone: str
+    accepting: bool
+    slots: int
+    release: str
+    cold_until: float = 0.0
+
+    def same(self, other: Server) -> bool:
+        """Whether nothing is told anew; less time to go until it is warm is no news."""
+        return replace(self, cold_until=0.0) == replace(other, cold_until=0.0) and (
+            self.cold_until <= other.cold_until + 0.5
+        )
+
+
+@dataclass(slots=True)
+class Table:
+    version: int = 0
+    servers: dict[str, Server] = field(default_factory=dict)
+
+
+def parse(pages: Iterable[bytes], now: float) -> dict[str, dict[str, Server]]:
+    """The platform's pages as servers by service; raises ValueError where a page is none."""
+    found: dict[str, dict[str, Server]] = {}
+    for page in pages:
+        try:
+            listed: dict[str, dict[str, Any]] = json.loads(page)["instanceList"]
+            for name, entry in listed.items():
+                found.setdefault(entry["service"], {})[name] = Server(
+                    name,
+                    entry["address"],
+                    entry["zone"],
+                    entry["serverState"] == "accepting",
+                    int(entry.get("capacitySlots") or 1),
+                    str(entry.get("versionNumber", "")),
+                    now + entry["coldRemainingMs"] / 1000 if entry.get("coldRemainingMs") else 0.0,
+                )
+        except (KeyError, TypeError, AttributeError) as error:
+            raise ValueError(f"a page of the list lacks {error}") from None
+    return found
+
+
+def unpack(now: float, row: list[Any]) -> Server:
+    *told, cold = row
+    return Server(*told, now + cold if cold else 0.0)
+
+
+class News:
+    """What one door knows of servers."""
+
+    def __init__(self) -> None:
+        self.tables: dict[str, Table] = {}
+
+    def versions(self) -> dict[str, int]:
+        return {service: table.version for service, table in self.tables.items()}
+
+    def listed(self, now: float, wall_ms: int, found: dict[str, dict[str, Server]]) -> list[str]:
+        """A list has come from the platform; the services with news.  Versions grow also where the holder of
+        the list before this one was not heard to the end: they follow the time of day."""
+        changed = []
+        for service in {**self.tables, **found}:
+            servers, table = found.get(service, {}), self.tables.get(service)
+            if (
+                table is not None
+                and servers.keys() == table.servers.keys()
+                and all(server.same(table.servers[name]) for name, server in servers.items())
+            ):
+                continue
+            before = table.version if table is not None else 0
+            self.tables[service] = Table(max(before + 1, wall_ms), servers)
+            changed.append(service)
+        return changed
+
+    def pack(self, now: float, service: str) -> list[Any]:
+        """A table as it goes to other doors: times to go instead of times."""
+        table = self.tables[service]
+        rows = [
+            [s.id, s.address, s.zone, s.accepting, s.slots, s.release, round(max(0.0, s.cold_until - now), 2)]
+            for s in table.servers.values()
+        ]
+        return [service, table.version, rows]
+
+    def take(self, now: float, packed: list[Any]) -> bool:
+        """A table that another door told; whether it is news."""
+        service, version, rows = packed
+        table = self.tables.get(service)
+        if table is not None and version <= table.version:
+            return False
+        self.tables[service] = Table(version, {r[0]: unpack(now, r) for r in rows})
+        return True
+
+    def newer(self, told: dict[str, int]) -> list[str]:
+        """Services of which another door has a newer table."""
+        return [s for s, v in told.items() if s not in self.tables or v > self.tables[s].version]
+
+
+def home(service: str, zone: str, doors: Iterable[str]) -> str | None:
+    """The zone's door that tells the others of a service."""
+    return next(iter(owners(f"{service}@{zone}", doors)), None)
