--- a/orchidhill/policy/sizing.py
+++ b/orchidhill/policy/sizing.py
@@ -15,5 +15,5 @@
     batch = math.exp(size)
     gradient = (strand * batch / 2 - price * served / batch) / price
     slope += gradient * gradient
-    size -= LEARN_RATE * gradient / math.sqrt(slope)
+    size -= LEARN_RATE * gradient / math.sqrt(slope) if slope else 0.0  # 0: at the optimum from the start
     return min(max(size, 0.0), math.log(max(1.0, base))), slope
