Let doors of a region tell each other where their requests are

Cause: a probe of each door's view showed servers with 4 to 6 requests in 2 slots beside idle ones; a door has few answers a second, so the load that servers tell was a second old or unknown. Each door now tells its zone (free) and its region (five times a second at most) what it has out at whom. Ruled out: one dispatcher a zone and service, as its loss would stop the zone.

--- a/forage/fleet.py
+++ b/forage/fleet.py
@@ -10,6 +10,7 @@
 
 NEWEST = 0.15  # weight of the newest answer in what is known of a server's speed
 FADE = 1.0  # seconds after which a load report counts for nothing: a few requests' time
+HEARSAY = 1.0  # seconds for which a door's word of its own requests counts
 SUSPECT = 0.5  # seconds without requests after a failure, doubled with each further one
 MOST_SUSPECT = 4.0
 OTHER_ZONE = 0.06  # part of a request's usual time that a way into another zone must gain, as bytes between zones cost
@@ -33,7 +34,8 @@
     out: int = 0  # requests of this door
     running: int = 0  # as it told, of all doors
     waiting: int = 0
-    told_out: int = 0  # of this door, when it told
+    told_out: int = 0  # of all doors that dance, when it told
+    others: int = 0  # requests of other doors that dance
     told_at: float = -1e9
     pace: float = 1.0  # its time for a request against that of all
     failures: int = 0  # in a row
@@ -41,9 +43,9 @@
     gone: bool = False
 
     def busy(self, now: float) -> float:
-        """Requests there, this door's and, fading, those of others."""
-        others = max(0, self.running + self.waiting - self.told_out)
-        return self.out + others * max(0.0, 1 - (now - self.told_at) / FADE)
+        """Requests there: this door's, those that others tell of and, fading, what the server told beyond them."""
+        unseen = max(0, self.running + self.waiting - self.told_out)
+        return self.out + self.others + unseen * max(0.0, 1 - (now - self.told_at) / FADE)
 
     def usable(self, now: float, closed: frozenset[str]) -> bool:
         return self.accepting and not self.gone and self.zone not in closed and now >= self.cold_until
@@ -67,6 +69,26 @@
     services: dict[str, dict[str, Server]] = field(default_factory=dict)
     usual: dict[str, Usual] = field(default_factory=dict)
     number: int = 0
+    dances: dict[str, tuple[float, dict[str, int]]] = field(default_factory=dict)  # by door
+
+    def outs(self) -> dict[str, int]:
+        """This door's requests at servers, for the others to know."""
+        return {server.id: server.out for server in self.servers.values() if server.out}
+
+    def danced(self, now: float, door: str, outs: dict[str, int]) -> None:
+        """Another door has told where its requests are."""
+        self.dances[door] = (now, outs)
+
+    def sum_up(self, now: float) -> None:
+        """What other doors have out at each server, of those that were heard of late."""
+        for door in [door for door, (at, _) in self.dances.items() if now - at > HEARSAY]:
+            del self.dances[door]
+        total: dict[str, int] = {}
+        for _, outs in self.dances.values():
+            for name, out in outs.items():
+                total[name] = total.get(name, 0) + out
+        for server in self.servers.values():
+            server.others = total.get(server.id, 0)
 
     def listed(self, now: float, service: str, servers: Iterable[Listed], cold_time: float) -> list[Server]:
         """The servers of a service from now on; those that are gone are returned.  A life that was not there
@@ -141,7 +163,7 @@
         server.pace += NEWEST * (ratio / crowd - server.pace)
         if len(report) >= 2:
             server.running, server.waiting = int(report[0]), int(report[1])
-            server.told_out, server.told_at = server.out, now
+            server.told_out, server.told_at = server.out + server.others, now
 
     def failed(self, now: float, server: Server) -> None:
         server.failures += 1
--- a/forage/gate.py
+++ b/forage/gate.py
@@ -260,7 +260,7 @@
                 self.fleet.heard(self.now, server, job.route.name, event.spent, event.report)
             elif event.outcome is Outcome.FULL:
                 server.running, server.waiting = max(server.running, server.slots), server.slots
-                server.told_out, server.told_at = 0, self.now
+                server.told_out, server.told_at = server.out + server.others, self.now
             elif event.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMEOUT):
                 self.fleet.failed(self.now, server)
         if job is None:
--- a/hive/door.py
+++ b/hive/door.py
@@ -27,7 +27,7 @@
 from ivymux.config import Address as Place
 from ivymux.metrics import Counts
 from nectar.credits import Call
-from queenless.core import Changed, Core, Deed, Lent, Mark, Poll, Refused, Send, Start
+from queenless.core import Changed, Core, Danced, Deed, Lent, Mark, Poll, Refused, Send, Start
 from queenless.orders import Done
 from swarm.peers import About
 from waggle.news import parse
@@ -116,6 +116,7 @@
         self.freshen(now)
         self.forager.doors = max(1, len(self.core.peers.roster))
         self.carrier.post(Tick())  # type: ignore[arg-type]
+        self.carry_out(self.core.dance(now, self.forager.fleet.outs()))
         self.timer = self.loop.call_later(TICK, self.tick)
 
     def heard(self, source: str, message: dict[str, Any]) -> None:
@@ -155,6 +156,10 @@
                     self.carrier.post(Lapsed(deed.tenant))  # type: ignore[arg-type]
                 case Done():
                     self.done(deed)
+                case Danced():
+                    now = self.loop.time()
+                    self.forager.fleet.danced(now, deed.door, deed.outs)
+                    self.forager.fleet.sum_up(now)
 
     def task(self, work: Any) -> None:
         task = self.loop.create_task(work)
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -19,6 +19,9 @@
 
 NEAR_BEAT = 0.4  # seconds between beats inside a region, and between core doors, whose leases live on them
 FAR_BEAT = 0.8  # between regions, where bytes are dear
+ZONE_DANCE = 0.04  # seconds between two tellings of where requests are, in the zone, where bytes are free,
+REGION_DANCE = 0.2  # and in the region, a part of a request's time
+STILL = 0.4  # seconds after which it is told again where nothing has changed
 LIST = 0  # the duty of asking the platform
 SHARDS = 8  # of tenants; fixed, as two doors that differ in it would both own a tenant
 POLL = 0.5  # seconds between looks at the platform's list
@@ -65,6 +68,14 @@
     filled: float
 
 
+@dataclass(slots=True, frozen=True)
+class Danced:
+    """Another door has told where its requests are."""
+
+    door: str
+    outs: dict[str, int]
+
+
 @dataclass(slots=True, frozen=True)
 class Refused:
     """No counter answers for the tenant."""
@@ -72,7 +83,7 @@
     tenant: str
 
 
-Deed = Send | Save | Mark | Poll | Done | Changed | Lent | Refused
+Deed = Send | Save | Mark | Poll | Done | Changed | Lent | Refused | Danced
 
 
 @dataclass(slots=True)
@@ -108,6 +119,7 @@
         self.polled_at, self.polling = -1e9, False
         self.asked: dict[str, tuple[float, int]] = {}  # what was asked for, when, and how often
         self.owed: dict[str, list[tuple[str, Item]]] = {}  # who waits for an item to be on this disk
+        self.danced: dict[str, tuple[float, dict[str, int]]] = {}  # what was told last, and when, by door
         self.deeds: list[Deed] = []
 
     # --- what others of this process ask ---------------------------------------------------------------
@@ -343,6 +355,20 @@
         if home(service, self.me.zone, doors) == self.me.ip:
             self.deeds += [Send(ip, {"k": "news", "n": packed}) for ip in doors if ip != self.me.ip]
 
+    def dance(self, now: float, outs: dict[str, int]) -> list[Deed]:
+        """Tell the doors of the zone, and less often those of the region, where this door's requests are."""
+        self.deeds = []
+        for row in self.peers.roster:
+            ip, zone, region = row[:3]
+            if ip == self.me.ip or region != self.me.region:
+                continue
+            at, told = self.danced.get(ip, (-1e9, {}))
+            least = ZONE_DANCE if zone == self.me.zone else REGION_DANCE
+            if now - at >= (least if outs != told else STILL):
+                self.danced[ip] = (now, outs)
+                self.deeds.append(Send(ip, {"k": "dance", "o": outs}))
+        return self.deeds
+
     # --- quotas -----------------------------------------------------------------------------------------------
 
     def lease(self, now: float, tenant: str, number: int, units: float) -> list[Deed]:
@@ -394,6 +420,8 @@
                     self.granter.release(str(duty), (about.ip, about.life))
                 for peer in self.peers.peers.values():
                     peer.holders = {d: who for d, who in peer.holders.items() if who != about.ip}
+            case "dance":
+                return [Danced(source, message["o"])]
             case "lease":
                 self.on_lease(now, source, message)
             case "grant":
