--- a/forage/fleet.py
+++ b/forage/fleet.py
@@ -13,7 +13,9 @@
 HEARSAY = 1.0  # seconds for which a door's word of its own requests counts
 SUSPECT = 0.5  # seconds without requests after a failure, doubled with each further one
 MOST_SUSPECT = 4.0
-OTHER_ZONE = 0.06  # part of a request's usual time that a way into another zone must gain, as bytes between zones cost
+OTHER_ZONE = (
+    0.06  # part of a request's usual time that a way into another zone must gain, as bytes between zones cost
+)
 OTHER_REGION = 0.5  # the same between regions: 40 ms there and back, and dearer bytes
 UPLOADS = 6.0  # times as much for bodies that are large
 
--- a/hive/desk.py
+++ b/hive/desk.py
@@ -103,7 +103,11 @@
         door = self.door
         match (method, segments):
             case ("GET", ["-", "readiness"]):
-                reply(answer(200, {"ready": True}) if door.ready() else problem(503, "not_ready", "not ready", RETRY))
+                reply(
+                    answer(200, {"ready": True})
+                    if door.ready()
+                    else problem(503, "not_ready", "not ready", RETRY)
+                )
             case ("GET", ["-", "lookup"]) if "directory" in self.roles:
                 asked = parse_qs(query)
                 zone, region = asked.get("zone", [""])[0], asked.get("answerRegion", [""])[0]
--- a/hive/door.py
+++ b/hive/door.py
@@ -27,7 +27,8 @@
 from ivymux.config import Address as Place
 from ivymux.metrics import Counts
 from nectar.credits import Call
-from queenless.core import Changed, Core, Danced, Deed, Lent, Mark, Poll, Refused, Send, Start
+from queenless.core import Core, Start
+from queenless.deeds import Changed, Danced, Deed, Lent, Mark, Poll, Refused, Send
 from queenless.orders import Done
 from swarm.peers import About
 from waggle.news import parse
@@ -98,7 +99,9 @@
         await self.mesh.start()
         for listener in [*self.desks, self.front]:
             await listener.start()
-        log.say("hive", "started", name=settings.name, disk=about.disk, first=settings.first, kept=len(start.kept))
+        log.say(
+            "hive", "started", name=settings.name, disk=about.disk, first=settings.first, kept=len(start.kept)
+        )
         self.tick()
 
     def limit_of(self, tenant: str) -> float:
--- a/hive/front.py
+++ b/hive/front.py
@@ -58,7 +58,9 @@
 class Carrier(Host[Forager]):
     """Drives the Forager: its events and actions are those of the front door in service, and a few more."""
 
-    def __init__(self, forager: Forager, servers: Servers, counts: Counts, lease: Callable[[Call], None]) -> None:
+    def __init__(
+        self, forager: Forager, servers: Servers, counts: Counts, lease: Callable[[Call], None]
+    ) -> None:
         super().__init__(forager, servers, counts)
         self.lease = lease
 
@@ -89,7 +91,11 @@
             self.end(number, Final(502))
 
     def attempt(
-        self, request: Open, payload: bytes, done: Callable[[Result], None], begun: Callable[[Flow], Sink | None]
+        self,
+        request: Open,
+        payload: bytes,
+        done: Callable[[Result], None],
+        begun: Callable[[Flow], Sink | None],
     ) -> Attempt:
         def ended(result: Result) -> None:
             if isinstance(result, Reply) and result.outcome is i.Outcome.ERROR:
@@ -126,13 +132,17 @@
             exchange.reply(Final(503, retry_after=UNKNOWN))
             return
         host = headers.get(b"host", b"").decode("latin-1").lower()
-        route = word.route(host, path.decode("latin-1")) or word.route(host.rpartition(":")[0], path.decode("latin-1"))
+        route = word.route(host, path.decode("latin-1")) or word.route(
+            host.rpartition(":")[0], path.decode("latin-1")
+        )
         if route is None:
             raise BadRequest("no such route", 404)
         tenant = self.tenant(word, route, headers.get(b"authorization", b""))
         if tenant is None and not route.open and word.tenants:
             if not front.fresh():
-                exchange.reply(Final(503, retry_after=UNKNOWN))  # the key may be newer than what is known here
+                exchange.reply(
+                    Final(503, retry_after=UNKNOWN)
+                )  # the key may be newer than what is known here
                 return
             raise BadRequest("no such key", 401)
         id_ = headers.get(ID, b"")
@@ -151,7 +161,13 @@
         return word.keys.get(authorization[len(BEARER) :].strip().decode("latin-1"))
 
     def ask(
-        self, exchange: Exchange, front: Front, route: Route, tenant: Tenant | None, id_: bytes, timeout: float
+        self,
+        exchange: Exchange,
+        front: Front,
+        route: Route,
+        tenant: Tenant | None,
+        id_: bytes,
+        timeout: float,
     ) -> None:
         method, body, upload = self.parser.get_method(), b"".join(self.body), exchange.upload
         if front.held + len(body) > MOST_HELD:
@@ -200,7 +216,9 @@
     head_status = 431
     host: Carrier
 
-    def __init__(self, listen: Address, carrier: Carrier, most_clients: int, fresh: Callable[[], bool]) -> None:
+    def __init__(
+        self, listen: Address, carrier: Carrier, most_clients: int, fresh: Callable[[], bool]
+    ) -> None:
         super().__init__(listen, None, carrier, most_clients)  # type: ignore[arg-type]
         self.make = Visitor
         self.word: Word | None = None
@@ -210,4 +228,3 @@
         self.word, limits = word, word.limits
         self.most_head, self.most_body = limits.head, limits.body
         self.head_timeout, self.idle_timeout = limits.head_time, limits.idle
-
--- a/hive/mesh.py
+++ b/hive/mesh.py
@@ -88,7 +88,9 @@
             message = cbor2.loads(data)
             self.heard(source, message)
         except Exception as error:  # whatever another process sends must not end this one
-            log.say("mesh", "a message could not be taken", peer=source, error=f"{type(error).__name__}: {error}")
+            log.say(
+                "mesh", "a message could not be taken", peer=source, error=f"{type(error).__name__}: {error}"
+            )
 
     def close(self) -> None:
         if self.transport is not None:
--- a/hive/platform.py
+++ b/hive/platform.py
@@ -10,7 +10,9 @@
 
 from hive.settings import Address
 
-PATIENCE = 1.5  # seconds for the whole list: half of the shortest time in which doors must know of a server's end
+PATIENCE = (
+    1.5  # seconds for the whole list: half of the shortest time in which doors must know of a server's end
+)
 MOST_PAGES = 64
 MOST_PAGE = 4 << 20
 
--- a/hive/servers.py
+++ b/hive/servers.py
@@ -138,4 +138,3 @@
 def promise_kept(reply: Reply) -> int:
     """The status that goes to the client: a promise that its server did not make is none."""
     return 502 if reply.status in PROMISES else reply.status
-
--- a/hive/settings.py
+++ b/hive/settings.py
@@ -188,7 +188,11 @@
 
 def problems(messages: Any, path: str = "") -> list[str]:
     if isinstance(messages, dict):
-        return [p for key, value in messages.items() for p in problems(value, f"{path}.{key}" if path else str(key))]
+        return [
+            p
+            for key, value in messages.items()
+            for p in problems(value, f"{path}.{key}" if path else str(key))
+        ]
     return [f"{path}: {text}" for text in messages]
 
 
@@ -216,5 +220,3 @@
         return parse(Path(path).read_text())
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from None
-
-
--- a/nectar/counter.py
+++ b/nectar/counter.py
@@ -21,7 +21,9 @@
         self.length = length
         self.counts: dict[str, Count] = {}
 
-    def lease(self, now: float, until: float, tenant: str, units: float, limit: float) -> tuple[float, float, float]:
+    def lease(
+        self, now: float, until: float, tenant: str, units: float, limit: float
+    ) -> tuple[float, float, float]:
         """Add a batch, or give one back (negative): what is granted, for how many seconds, and the part of the
         window's limit that is out."""
         window = math.floor(now / self.length)
--- a/nectar/credits.py
+++ b/nectar/credits.py
@@ -9,8 +9,12 @@
 from nectar.bounds import QuotaRule
 from orchidhill.policy.sizing import step
 
-PRICE = 0.25  # of a counter call, in requests: a call costs a wait of one round trip to one request in a batch
-PATIENCE = 0.12  # seconds for a call's answer before it is made again; a round trip between regions takes 40 ms
+PRICE = (
+    0.25  # of a counter call, in requests: a call costs a wait of one round trip to one request in a batch
+)
+PATIENCE = (
+    0.12  # seconds for a call's answer before it is made again; a round trip between regions takes 40 ms
+)
 CALLS = 3  # of one lease, before its waiters are refused
 SHORT = 0.3  # seconds after which who was refused for want of the counter may come again
 IDLE = 0.5  # part of a window after which credit that nobody spends goes back, where others are short
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -8,20 +8,19 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from comb.copies import NEVER, WORD, Copies, Item, Save, voices_needed
+from comb.copies import NEVER, WORD, Copies, Item, voices_needed
 from comb.word import digest, number_of
 from nectar.counter import Counter
-from queenless.orders import Copy, Done, Order, Orders
-from swarm.duties import Granter, Hold
+from queenless.deeds import Changed, Danced, Deed, Lent, Mark, Message, Poll, Refused, Send
+from queenless.herald import Herald
+from queenless.orders import Copy, Order, Orders
+from swarm.duties import Duties
 from swarm.peers import About, Peers
-from swarm.rendezvous import owners, shard
-from waggle.news import News, Server, home
+from swarm.rendezvous import shard
+from waggle.news import Server
 
 NEAR_BEAT = 0.4  # seconds between beats inside a region, and between core doors, whose leases live on them
 FAR_BEAT = 0.8  # between regions, where bytes are dear
-ZONE_DANCE = 0.04  # seconds between two tellings of where requests are, in the zone, where bytes are free,
-REGION_DANCE = 0.2  # and in the region, a part of a request's time
-STILL = 0.4  # seconds after which it is told again where nothing has changed
 LIST = 0  # the duty of asking the platform
 SHARDS = 8  # of tenants; fixed, as two doors that differ in it would both own a tenant
 POLL = 0.5  # seconds between looks at the platform's list
@@ -29,63 +28,6 @@
 ASK_AGAIN = 0.3  # seconds until what was asked for is asked for again, of another door
 QUIET = 1.5  # seconds without a new core door, at the first start, before the core counts as known
 
-Message = dict[str, Any]
-
-
-@dataclass(slots=True, frozen=True)
-class Send:
-    to: str
-    message: Message
-
-
-@dataclass(slots=True, frozen=True)
-class Mark:
-    """A mark to be put on disk."""
-
-    name: str
-    body: bytes
-
-
-@dataclass(slots=True, frozen=True)
-class Poll:
-    """The platform's list is to be read; `Core.listed` wants to hear of it."""
-
-
-@dataclass(slots=True, frozen=True)
-class Changed:
-    """Something is seen anew: the key of an item, or `service:NAME`."""
-
-    what: str
-
-
-@dataclass(slots=True, frozen=True)
-class Lent:
-    """The counter's answer to a lease of this door."""
-
-    tenant: str
-    number: int
-    units: float
-    left: float
-    filled: float
-
-
-@dataclass(slots=True, frozen=True)
-class Danced:
-    """Another door has told where its requests are."""
-
-    door: str
-    outs: dict[str, int]
-
-
-@dataclass(slots=True, frozen=True)
-class Refused:
-    """No counter answers for the tenant."""
-
-    tenant: str
-
-
-Deed = Send | Save | Mark | Poll | Done | Changed | Lent | Refused | Danced
-
 
 @dataclass(slots=True)
 class Start:
@@ -111,16 +53,15 @@
         for row in start.core:
             self.peers.meet(now - QUIET, About(*row))
         self.orders = Orders(self.peers, self.copies, start.about.life)
-        self.granter = Granter(now, start.first)
-        self.holds: dict[int, Hold] = {}
+        self.duties = Duties(self.peers, now, start.first, SHARDS + 1)
         self.counter, self.limit = Counter(window), limit
-        self.news = News()
+        self.herald = Herald(self.peers)
+        self.news = self.herald.news
         self.ready = False
         self.draining = False
         self.polled_at, self.polling = -1e9, False
         self.asked: dict[str, tuple[float, int]] = {}  # what was asked for, when, and how often
         self.owed: dict[str, list[tuple[str, Item]]] = {}  # who waits for an item to be on this disk
-        self.danced: dict[str, tuple[float, dict[str, int]]] = {}  # what was told last, and when, by door
         self.deeds: list[Deed] = []
 
     # --- what others of this process ask ---------------------------------------------------------------
@@ -136,15 +77,13 @@
         times = [now] if self.voice and self.copies_on_disk() else []
         for ip in self.peers.core:
             peer = self.peers.peers.get(ip)
-            if peer is not None and peer.voice and ip != self.me.ip:
-                if all(stamp <= self.stamp_seen(key) for key, stamp in peer.stamps.items()):
-                    times.append(peer.asked_at)
+            if peer is None or not peer.voice or ip == self.me.ip:
+                continue
+            if all(stamp <= self.copies.stamp(key) for key, stamp in peer.stamps.items()):
+                times.append(peer.asked_at)
         needed = voices_needed(len(self.peers.core))
         return sorted(times, reverse=True)[needed - 1] if len(times) >= needed and seen else -1e9
 
-    def stamp_seen(self, key: str) -> tuple[int, bytes]:
-        return self.copies.stamp(key)
-
     def copies_on_disk(self) -> bool:
         return all(stamp <= self.copies.stamp(key) for key, stamp in self.copies.kept.items())
 
@@ -181,9 +120,13 @@
         heard = any(self.peers.alive(now, ip) for ip in self.peers.others())
         if not heard or (self.first and not self.settled(now)):
             for ip in self.seeds:
-                if ip != self.me.ip and ip not in self.peers.core and now - self.sent_at(ip) >= NEAR_BEAT - 0.01:
+                if (
+                    ip != self.me.ip
+                    and ip not in self.peers.core
+                    and now - self.sent_at(ip) >= NEAR_BEAT - 0.01
+                ):
                     self.beat(now, ip)
-        self.duties(now)
+        self.duties_on(now)
         if self.me.disk:
             self.peers.note(now, self.me, self.ready)
             self.peers.make_roster(now)
@@ -209,7 +152,7 @@
             "c": len(self.peers.core),
         }  # fmt: skip
         if self.me.disk:
-            message["w"] = self.wanted(now)
+            message["w"] = self.duties.wanted(now) if self.settled(now) else []
             message["h"] = dict(self.copies.held())
             message["v"] = self.voice
         elif ip == nearest or nearest is None:
@@ -273,56 +216,14 @@
 
     # --- duties ------------------------------------------------------------------------------------------
 
-    def needed(self) -> int:
-        return len(self.peers.core) // 2 + 1
-
-    def holds_until(self, duty: int) -> float:
-        """Until when this door may do a duty; in the past where it may not."""
-        hold = self.holds.get(duty)
-        return hold.until(self.needed()) if hold is not None else 0.0
-
-    def holder(self, now: float, duty: int) -> str | None:
-        """Who holds a duty, as the core tells; the most that say so."""
-        if self.holds_until(duty) > now:
-            return self.me.ip
-        says: dict[str, int] = {}
-        for ip in self.peers.core:
-            peer = self.peers.peers.get(ip)
-            if peer is not None and self.peers.alive(now, ip):
-                who = peer.holders.get(str(duty))
-                if who is not None and who != self.me.ip:
-                    says[who] = says.get(who, 0) + 1
-        return max(says, key=lambda who: (says[who], who)) if says else None
-
-    def wanted(self, now: float) -> list[int]:
-        """Duties that this door does, or would do: one has no holder that is alive, and it is the first in line."""
-        if self.draining or not self.me.disk or not self.settled(now):
-            return []
-        alive = [ip for ip in self.peers.core if self.peers.alive(now, ip)]
-        found = []
-        for duty in range(SHARDS + 1):
-            if self.holds_until(duty) > now:
-                found.append(duty)
-                continue
-            holder = self.holder(now, duty)
-            if holder is not None and self.peers.alive(now, holder):
-                continue
-            if owners(f"duty {duty}", alive)[0] == self.me.ip:
-                found.append(duty)
-        return found
-
-    def duties(self, now: float) -> None:
+    def duties_on(self, now: float) -> None:
+        """Renew what this door holds, take what nobody does, and do the first of them: ask the platform."""
         if not self.me.disk:
             return
-        if now < self.granter.silent_until and self.settled(now):
-            others = [self.peers.peers.get(ip) for ip in self.peers.others()]
-            told = {(p.about.ip, p.about.life): p.counts_on for p in others if p is not None}
-            if len(told) == len(others) and all(duties is not None for duties in told.values()):
-                self.granter.recall(now, {who: duties or [] for who, duties in told.items()})
-        for duty in self.wanted(now):
-            if self.granter.ask(now, str(duty), (self.me.ip, self.me.life)):
-                self.holds.setdefault(duty, Hold()).yes[self.me.ip] = (now, self.me.life)
-        may = self.holds_until(LIST) > now or (not self.news.tables and now - self.began > BARE)
+        if self.settled(now):
+            self.duties.recall(now)
+            self.duties.renew(now)
+        may = self.duties.until(LIST) > now or (not self.news.tables and now - self.began > BARE)
         if may and not self.polling and now - self.polled_at >= POLL:
             self.polling, self.polled_at = True, now
             self.deeds.append(Poll())
@@ -330,51 +231,23 @@
     def drain(self, now: float) -> list[Deed]:
         """This door leaves in order: its duties go to others at once."""
         self.deeds = []
-        held = [duty for duty in range(SHARDS + 1) if self.holds_until(duty) > now]
         self.draining = True
-        self.holds.clear()
-        for duty in held:
-            self.granter.release(str(duty), (self.me.ip, self.me.life))
-        for ip in self.peers.others():
-            self.deeds.append(Send(ip, {"k": "free", "a": self.me.row(), "d": held}))
+        message = {"k": "free", "a": self.me.row(), "d": self.duties.leave(now)}
+        self.deeds += [Send(ip, message) for ip in self.peers.others()]
         return self.deeds
 
-    # --- news of servers ------------------------------------------------------------------------------------
+    # --- news of servers ----------------------------------------------------------------------------------
 
     def listed(self, now: float, wall_ms: int, found: dict[str, dict[str, Server]] | None) -> list[Deed]:
         """The platform's list, or that it could not be read."""
-        self.deeds, self.polling = [], False
-        if found is None or not (self.holds_until(LIST) > now or not self.news.tables):
-            return self.deeds
-        for service in self.news.listed(now, wall_ms, found):
-            self.deeds.append(Changed(f"service:{service}"))
-            packed = self.news.pack(now, service)
-            zones = sorted({row[1] for row in self.peers.roster})
-            homes = {home(service, zone, self.peers.doors(zone=zone)) for zone in zones}
-            for ip in sorted({*self.peers.others(), *(h for h in homes if h is not None)} - {self.me.ip}):
-                self.deeds.append(Send(ip, {"k": "news", "n": packed}))
-            self.tell_zone(service, packed)
-        return self.deeds
-
-    def tell_zone(self, service: str, packed: list[Any]) -> None:
-        """The home door tells the others of its zone."""
-        doors = self.peers.doors(zone=self.me.zone)
-        if home(service, self.me.zone, doors) == self.me.ip:
-            self.deeds += [Send(ip, {"k": "news", "n": packed}) for ip in doors if ip != self.me.ip]
+        self.polling = False
+        if found is None or not (self.duties.until(LIST) > now or not self.news.tables):
+            return []
+        return self.herald.listed(now, wall_ms, found)
 
     def dance(self, now: float, outs: dict[str, int]) -> list[Deed]:
-        """Tell the doors of the zone, and less often those of the region, where this door's requests are."""
-        self.deeds = []
-        for row in self.peers.roster:
-            ip, zone, region = row[:3]
-            if ip == self.me.ip or region != self.me.region:
-                continue
-            at, told = self.danced.get(ip, (-1e9, {}))
-            least = ZONE_DANCE if zone == self.me.zone else REGION_DANCE
-            if now - at >= (least if outs != told else STILL):
-                self.danced[ip] = (now, outs)
-                self.deeds.append(Send(ip, {"k": "dance", "o": outs}))
-        return self.deeds
+        """Tell others where this door's requests are."""
+        return self.herald.dance(now, outs)
 
     # --- quotas -----------------------------------------------------------------------------------------------
 
@@ -382,11 +255,11 @@
         """A call of this door to the counter of a tenant."""
         self.deeds = []
         duty = 1 + shard(tenant, SHARDS)
-        holder = self.holder(now, duty)
+        holder = self.duties.holder(now, duty)
         if holder is None:
             self.deeds.append(Refused(tenant))
         elif holder == self.me.ip:
-            granted = self.counter.lease(now, self.holds_until(duty), tenant, units, self.limit(tenant))
+            granted = self.counter.lease(now, self.duties.until(duty), tenant, units, self.limit(tenant))
             if units > 0:
                 self.deeds.append(Lent(tenant, number, *granted))
         else:
@@ -416,17 +289,11 @@
                 self.take(self.unpack(message["i"]), elsewhere=True)
                 self.asked.pop(f"item {message['i'][0]}", None)
             case "news":
-                service = message["n"][0]
-                if self.news.take(now, message["n"]):
-                    self.asked.pop(f"news {service}", None)
-                    self.deeds.append(Changed(f"service:{service}"))
-                    self.tell_zone(service, self.news.pack(now, service))
+                self.deeds += self.herald.take(now, message["n"])
+                self.asked.pop(f"news {message['n'][0]}", None)
             case "free":
                 about = About(*message["a"])
-                for duty in message["d"]:
-                    self.granter.release(str(duty), (about.ip, about.life))
-                for peer in self.peers.peers.values():
-                    peer.holders = {d: who for d, who in peer.holders.items() if who != about.ip}
+                self.duties.freed((about.ip, about.life), message["d"])
             case "dance":
                 return [Danced(source, message["o"])]
             case "lease":
@@ -450,12 +317,12 @@
         echo: Message = {"k": "echo", "a": self.me.row(), "t": message["t"], "v": self.voice}
         if self.me.disk:
             echo["h"] = dict(self.copies.held())
-            echo["d"] = self.granter.holders(now)
+            echo["d"] = self.duties.granter.holders(now)
             if about.disk:
-                echo["p"] = [d for d, hold in self.holds.items() if hold.counts_on(now, (about.ip, about.life))]
+                echo["p"] = self.duties.counts_on(now, (about.ip, about.life))
             echo["g"] = [
                 duty for duty in message.get("w", ())
-                if self.granter.ask(now, str(duty), (about.ip, about.life))
+                if self.duties.granter.ask(now, str(duty), (about.ip, about.life))
             ]  # fmt: skip
         if self.news.tables:
             echo["n"] = self.news.versions()
@@ -479,7 +346,7 @@
         peer.news = message.get("n", {})
         peer.holders = message.get("d", {})
         for duty in message.get("g", ()):
-            self.holds.setdefault(duty, Hold()).yes[about.ip] = (message["t"], about.life)
+            self.duties.granted(duty, about.ip, message["t"], about.life)
         for row in message.get("c", ()):
             self.meet(now, About(*row))
         if "s" in message and message["s"] != self.peers.roster:
@@ -500,7 +367,7 @@
 
     def on_lease(self, now: float, source: str, message: Message) -> None:
         tenant, units = message["n"], message["u"]
-        until = self.holds_until(1 + shard(tenant, SHARDS))
+        until = self.duties.until(1 + shard(tenant, SHARDS))
         if until <= now:
             self.deeds.append(Send(source, {"k": "lost", "n": tenant}))
             return
--- /dev/null
+++ b/queenless/deeds.py
@@ -0,0 +1,66 @@
+"""What a core wants done: messages, saves, marks, and what others of its process are told."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from comb.copies import Save
+from queenless.orders import Done
+
+Message = dict[str, Any]
+
+
+@dataclass(slots=True, frozen=True)
+class Send:
+    to: str
+    message: Message
+
+
+@dataclass(slots=True, frozen=True)
+class Mark:
+    """A mark to be put on disk."""
+
+    name: str
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Poll:
+    """The platform's list is to be read; `Core.listed` wants to hear of it."""
+
+
+@dataclass(slots=True, frozen=True)
+class Changed:
+    """Something is seen anew: the key of an item, or `service:NAME`."""
+
+    what: str
+
+
+@dataclass(slots=True, frozen=True)
+class Lent:
+    """The counter's answer to a lease of this door."""
+
+    tenant: str
+    number: int
+    units: float
+    left: float
+    filled: float
+
+
+@dataclass(slots=True, frozen=True)
+class Danced:
+    """Another door has told where its requests are."""
+
+    door: str
+    outs: dict[str, int]
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """No counter answers for the tenant."""
+
+    tenant: str
+
+
+Deed = Send | Save | Mark | Poll | Done | Changed | Lent | Refused | Danced
--- a/queenless/orders.py
+++ b/queenless/orders.py
@@ -81,7 +81,9 @@
         """What is to be on enough disks: the order, or what has overtaken it."""
         if order.wanted is not None:
             held = self.copies.seen.get(key)
-            order.target = held if held is not None and held.stamp[0] >= order.wanted.stamp[0] else order.wanted
+            order.target = (
+                held if held is not None and held.stamp[0] >= order.wanted.stamp[0] else order.wanted
+            )
         elif order.zone:
             name = ZONE + order.zone
             held, blob = self.copies.seen.get(name), b"1" if order.closed else b"0"
--- a/swarm/duties.py
+++ b/swarm/duties.py
@@ -4,7 +4,9 @@
 
 from dataclasses import dataclass, field
 
-TERM = 2.0  # seconds of a grant: five beats of the core
+from swarm.peers import TERM, Peers
+from swarm.rendezvous import owners
+
 SHORT = 0.9  # part of it that a holder relies on, as steady clocks may differ in speed,
 MARGIN = 0.1  # and seconds less, for what lies between a look at the clock and the deed
 
@@ -71,3 +73,84 @@
         if len(asked) < needed:
             return 0.0
         return asked[needed - 1] + TERM * SHORT - MARGIN
+
+
+class Duties:
+    """All duties, by number, as one door of the core sees them; others ask it for holders only."""
+
+    def __init__(self, peers: Peers, now: float, first: bool, count: int) -> None:
+        self.peers, self.count = peers, count
+        self.granter = Granter(now, first)
+        self.holds: dict[int, Hold] = {}
+        self.left = False
+
+    def me(self) -> Who:
+        return self.peers.me.ip, self.peers.me.life
+
+    def until(self, duty: int) -> float:
+        """Until when this door may do a duty; in the past where it may not."""
+        hold = self.holds.get(duty)
+        return hold.until(len(self.peers.core) // 2 + 1) if hold is not None else 0.0
+
+    def holder(self, now: float, duty: int) -> str | None:
+        """Who holds a duty, as the core tells; the one of whom most say so."""
+        if self.until(duty) > now:
+            return self.peers.me.ip
+        says: dict[str, int] = {}
+        for ip in self.peers.core:
+            peer = self.peers.peers.get(ip)
+            if peer is not None and self.peers.alive(now, ip):
+                who = peer.holders.get(str(duty))
+                if who is not None and who != self.peers.me.ip:
+                    says[who] = says.get(who, 0) + 1
+        return max(says, key=lambda who: (says[who], who)) if says else None
+
+    def wanted(self, now: float) -> list[int]:
+        """Duties that this door does, or would do: those without a holder that is alive, if it is first in line."""
+        if self.left or not self.peers.me.disk:
+            return []
+        alive = [ip for ip in self.peers.core if self.peers.alive(now, ip)]
+        found = []
+        for duty in range(self.count):
+            holder = self.holder(now, duty)
+            if holder == self.peers.me.ip:
+                found.append(duty)
+                continue
+            free = holder is None or not self.peers.alive(now, holder)
+            if free and owners(f"duty {duty}", alive)[0] == self.peers.me.ip:
+                found.append(duty)
+        return found
+
+    def renew(self, now: float) -> None:
+        """This door's own grants for what it wants."""
+        for duty in self.wanted(now):
+            if self.granter.ask(now, str(duty), self.me()):
+                self.granted(duty, self.peers.me.ip, now, self.peers.me.life)
+
+    def granted(self, duty: int, ip: str, asked_at: float, life: int) -> None:
+        self.holds.setdefault(duty, Hold()).yes[ip] = (asked_at, life)
+
+    def counts_on(self, now: float, who: Who) -> list[int]:
+        return [duty for duty, hold in self.holds.items() if hold.counts_on(now, who)]
+
+    def recall(self, now: float) -> None:
+        """End the silence of a new life once every other core door has told what it counts on."""
+        others = [self.peers.peers.get(ip) for ip in self.peers.others()]
+        told = {(p.about.ip, p.about.life): p.counts_on for p in others if p is not None}
+        if len(told) == len(others) and all(duties is not None for duties in told.values()):
+            self.granter.recall(now, {who: duties or [] for who, duties in told.items()})
+
+    def leave(self, now: float) -> list[int]:
+        """What this door held; from now on it holds nothing, and wants nothing."""
+        held = [duty for duty in range(self.count) if self.until(duty) > now]
+        self.left = True
+        self.holds.clear()
+        self.freed(self.me(), held)
+        return held
+
+    def freed(self, who: Who, duties: list[int]) -> None:
+        """A holder has left in order."""
+        for duty in duties:
+            self.granter.release(str(duty), who)
+        for peer in self.peers.peers.values():
+            peer.holders = {duty: holder for duty, holder in peer.holders.items() if holder != who[0]}
--- a/swarm/peers.py
+++ b/swarm/peers.py
@@ -8,8 +8,8 @@
 
 from comb.copies import NEVER
 from comb.word import Stamp
-from swarm.duties import TERM
 
+TERM = 2.0  # seconds of a grant of a duty: five beats of the core
 SILENT = 1.3  # seconds without an answer after which a door counts as away: three beats lost and a round trip
 GONE = 3.0  # seconds after which it leaves the roster
 
@@ -92,7 +92,9 @@
     def others(self) -> list[str]:
         """The core without this door, the near ones first."""
         me = self.me
-        far = {ip: (a.zone != me.zone) + (a.region != me.region) for ip, a in self.core.items() if ip != me.ip}
+        far = {
+            ip: (a.zone != me.zone) + (a.region != me.region) for ip, a in self.core.items() if ip != me.ip
+        }
         return sorted(far, key=lambda ip: (far[ip], ip))
 
     def alive(self, now: float, ip: str) -> bool:
