--- a/queenless/core.py
+++ b/queenless/core.py
@@ -50,6 +50,7 @@
         self.copies = Copies(start.about.disk, start.kept)
         self.voice = start.about.disk and (start.first or start.voice)
         self.marked = start.voice
+        self.told_core = bool(start.core)  # who the core is was on disk, or a voice of it has told
         for row in start.core:
             self.peers.meet(now - QUIET, About(*row))
         self.orders = Orders(self.peers, self.copies, start.about.life)
@@ -68,8 +69,7 @@
 
     def settled(self, now: float) -> bool:
         """Whether the core is known; at the first start doors with a disk are still being met."""
-        quiet = not self.first or now - max(self.peers.grown_at, self.began) > QUIET
-        return quiet and bool(self.peers.core)
+        return self.told_core or (self.first and now - max(self.peers.grown_at, self.began) > QUIET)
 
     def fresh_at(self, now: float) -> float:
         """Every change acknowledged up to then is seen here."""
@@ -149,7 +149,7 @@
         nearest = next(iter(self.peers.others()), None)
         message = {
             "k": "beat", "a": self.me.row(), "r": self.ready and not self.draining, "t": now,
-            "c": len(self.peers.core),
+            "c": self.peers.core_sum(),
         }  # fmt: skip
         if self.me.disk:
             message["w"] = self.duties.wanted(now) if self.settled(now) else []
@@ -326,7 +326,7 @@
             ]  # fmt: skip
         if self.news.tables:
             echo["n"] = self.news.versions()
-        if message["c"] != len(mine):
+        if message["c"] != self.peers.core_sum():
             echo["c"] = [member.row() for member in mine.values()]
         if "s" in message and self.me.disk and message["s"] != self.peers.roster_sum:
             echo["s"] = self.peers.roster
@@ -349,6 +349,8 @@
             self.duties.granted(duty, about.ip, message["t"], about.life)
         for row in message.get("c", ()):
             self.meet(now, About(*row))
+        if message["v"] and not self.first:
+            self.told_core = True
         if "s" in message and message["s"] != self.peers.roster:
             self.peers.take_roster(message["s"])
 
--- a/queenless/orders.py
+++ b/queenless/orders.py
@@ -26,12 +26,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Done:
-    """How an order ended: `item` is what was read."""
+    """How an order ended: `item` is what was read, `target` what is on enough disks."""
 
     token: int
     good: bool
     why: str = ""
     item: Item | None = None
+    target: Item | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -64,7 +65,7 @@
                     actions.append(self.end(order, Done(order.token, True, item=self.copies.seen.get(key))))
                     continue
             if order.target is not None and self.copied(order) >= copies_needed(core):
-                actions.append(self.end(order, Done(order.token, True)))
+                actions.append(self.end(order, Done(order.token, True, target=order.target)))
             elif now - order.began > WAIT:
                 have, need = self.copied(order), copies_needed(core)
                 step = f"copy: {have} of {need} disks" if order.target else "look: too few voices"
--- a/swarm/duties.py
+++ b/swarm/duties.py
@@ -109,7 +109,7 @@
         """Duties that this door does, or would do: those without a holder that is alive, if it is first in line."""
         if self.left or not self.peers.me.disk:
             return []
-        alive = [ip for ip in self.peers.core if self.peers.alive(now, ip)]
+        alive = [ip for ip in self.peers.core if self.peers.alive(now, ip) and not self.peers.leaving(ip)]
         found = []
         for duty in range(self.count):
             holder = self.holder(now, duty)
@@ -154,3 +154,5 @@
             self.granter.release(str(duty), who)
         for peer in self.peers.peers.values():
             peer.holders = {duty: holder for duty, holder in peer.holders.items() if holder != who[0]}
+        if (left := self.peers.peers.get(who[0])) is not None and left.about.life == who[1]:
+            left.leaving = True
--- a/swarm/peers.py
+++ b/swarm/peers.py
@@ -38,6 +38,7 @@
     sent_at: float = -1e9  # when the last beat went to it
     counts_on: list[int] | None = None  # duties for which it counts on a promise of this door's last life
     voice: bool = False
+    leaving: bool = False  # it takes no duty any more
     stamps: dict[str, Stamp] = field(default_factory=dict)
     news: dict[str, int] = field(default_factory=dict)
     holders: dict[str, str] = field(default_factory=dict)
@@ -89,6 +90,10 @@
             self.grown_at = now
         return known is None
 
+    def core_sum(self) -> int:
+        """What two doors compare to see whether they know the same core."""
+        return zlib.crc32(" ".join(sorted(self.core)).encode())
+
     def others(self) -> list[str]:
         """The core without this door, the near ones first."""
         me = self.me
@@ -101,6 +106,10 @@
         peer = self.peers.get(ip)
         return ip == self.me.ip or (peer is not None and now - peer.heard_at < SILENT)
 
+    def leaving(self, ip: str) -> bool:
+        peer = self.peers.get(ip)
+        return peer is not None and peer.leaving
+
     def told(self, since: float, needed_stamps: dict[str, Stamp] | None = None) -> int:
         """Voices that answered a beat sent at `since` or later, and told nothing above the stamps."""
         count = 0
--- /dev/null
+++ b/tests/scenarios/word.feature
@@ -0,0 +1,102 @@
+Feature: The operator's word
+  What was acknowledged is never lost or gone back on, whatever is lost at once.
+
+  Scenario: A configuration is at every door within the time for it
+    Given 4 core doors and 7 others
+    When the operator sends configuration 5 to door 1
+    And 1.5 seconds pass
+    Then configuration 5 is acknowledged
+    And every door uses configuration 5
+
+  Scenario: A door without a disk takes the call and passes it on
+    Given 4 core doors and 7 others
+    When the operator sends configuration 5 to door 9
+    And 1 second passes
+    Then configuration 5 is acknowledged
+
+  Scenario: One disk may be away, two may not
+    Given 4 core doors and 3 others
+    When door 4 is killed
+    And the operator sends configuration 5 to door 1
+    And 1 second passes
+    Then configuration 5 is acknowledged
+    When door 3 is killed
+    And the operator sends configuration 6 to door 1
+    And 4 seconds pass
+    Then configuration 6 is not acknowledged
+
+  Scenario: The tolerated loss is wiped while every other machine loses power
+    Given 4 core doors and 3 others
+    When the operator sends configuration 5 to door 1
+    Then configuration 5 is acknowledged as soon as can be
+    When every door loses power, and door 2 its disk
+    And 1 second passes
+    And every door comes back
+    And 1.5 seconds pass
+    Then reading at door 2 gives configuration 5
+    And reading at door 7 gives configuration 5
+
+  Scenario: An empty disk is no voice until it has caught up
+    Given 4 core doors and 3 others
+    And configuration 5 is everywhere
+    When door 2 loses its disk
+    And door 3 is killed
+    And door 4 is killed
+    And door 2 comes back
+    And 2 seconds pass
+    Then door 2 has no voice
+    And reading at door 2 gives nothing
+    When door 3 comes back
+    And 2 seconds pass
+    Then door 2 has its voice
+    And reading at door 2 gives configuration 5
+
+  Scenario: Two bodies under one number, split two to two
+    Given 4 core doors and 3 others
+    And configuration 5 is everywhere
+    When two operators send configuration 6 to doors 1 and 4 at once
+    And 3 seconds pass
+    Then both are acknowledged
+    And every door holds the same configuration 6
+
+  Scenario: An old change that arrives once again has no effect
+    Given 4 core doors and 3 others
+    And configuration 6 is everywhere
+    When the operator sends configuration 5 to door 3
+    And 1 second passes
+    Then configuration 5 is acknowledged
+    And every door uses configuration 6
+
+  Scenario: A change on one disk only is mended, and never served from nowhere
+    Given 4 core doors and 3 others
+    And configuration 5 is everywhere
+    When the core is cut into 1 and 2, 3, 4
+    And the operator sends configuration 6 to door 1
+    And 3.5 seconds pass
+    Then configuration 6 is not acknowledged
+    When the links are mended
+    And 2 seconds pass
+    Then all core doors hold the same
+
+  Scenario: A full disk is no copy
+    Given 4 core doors and 3 others
+    When the disks of doors 3 and 4 are full
+    And the operator sends configuration 5 to door 1
+    And 3.5 seconds pass
+    Then configuration 5 is not acknowledged
+    When the disks have room again
+    And the operator sends configuration 5 to door 1
+    And 2 seconds pass
+    Then configuration 5 is acknowledged
+
+  Scenario: A zone that was closed stays closed when all processes are killed
+    Given 4 core doors and 3 others
+    When the operator closes zone z1 at door 6
+    And 1 second passes
+    And every door loses power, and door 1 its disk
+    And every door comes back
+    And 2 seconds pass
+    Then zone z1 is closed at every door
+    When the operator opens zone z1 at door 2
+    And 1.5 seconds pass
+    Then no zone is closed at any door
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,272 @@
+"""The one runner of tests/scenarios: plain sentences on a simulated world."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from comb.copies import WORD
+from queenless.core import LIST
+
+from .world import Disk, World
+
+scenarios("scenarios")
+
+
+class Stage:
+    """A scenario's world and the orders given in it."""
+
+    world: World
+
+    def __init__(self) -> None:
+        self.tokens: dict[int, list[int]] = {}
+
+    def names(self, text: str) -> list[str]:
+        return [f"d{number}" for number in re.findall(r"\d+", text)]
+
+    def acknowledged(self, number: int) -> list[bool]:
+        results = self.world.results
+        return [token in results and results[token].good for token in self.tokens[number]]
+
+    def holder(self, duty: int = LIST) -> str | None:
+        return next((name for name in self.world.up() if self.world.holds(name, duty)), None)
+
+    def numbers(self) -> dict[str, int]:
+        found = {}
+        for name in self.world.up():
+            core: Any = self.world.doors[name].core
+            item = core.copies.seen.get(WORD)
+            found[name] = self.world.number_in(item) if item is not None else -1
+        return found
+
+
+@pytest.fixture
+def stage() -> Any:
+    made = Stage()
+    yield made
+    assert made.world.breaches == []
+
+
+@given(parsers.re(r"(?P<core>\d+) core doors and (?P<others>\d+) others"))
+def doors(stage: Stage, core: str, others: str) -> None:
+    stage.world = World(int(core), int(others))
+    stage.world.run(4.0)
+
+
+@given(parsers.parse("configuration {number:d} is everywhere"))
+def everywhere(stage: Stage, number: int) -> None:
+    put(stage, number, 1)
+    stage.world.run(2.0)
+    assert stage.acknowledged(number) == [True] and set(stage.numbers().values()) == {number}
+
+
+@when(parsers.parse("the operator sends configuration {number:d} to door {door:d}"))
+def put(stage: Stage, number: int, door: int) -> None:
+    stage.tokens.setdefault(number, []).append(stage.world.put(f"d{door}", number))
+
+
+@when(parsers.parse("two operators send configuration {number:d} to doors {one:d} and {other:d} at once"))
+def race(stage: Stage, number: int, one: int, other: int) -> None:
+    stage.tokens[number] = [
+        stage.world.put(f"d{one}", number, "one"),
+        stage.world.put(f"d{other}", number, "other"),
+    ]
+
+
+@when(parsers.re(r"(?P<seconds>[\d.]+) seconds? pass(es)?"))
+def wait(stage: Stage, seconds: str) -> None:
+    stage.world.run(float(seconds))
+
+
+@when(parsers.parse("door {door:d} is killed"))
+def kill(stage: Stage, door: int) -> None:
+    stage.world.kill(f"d{door}")
+
+
+@when(parsers.parse("door {door:d} loses its disk"))
+def wipe(stage: Stage, door: int) -> None:
+    stage.world.wipe(f"d{door}")
+
+
+@when(parsers.parse("door {door:d} comes back"))
+def back(stage: Stage, door: int) -> None:
+    stage.world.start(f"d{door}")
+
+
+@when(parsers.re(r"every door loses power, and (?P<which>none|door \d+) its disk"))
+def power(stage: Stage, which: str) -> None:
+    for name in stage.world.up():
+        stage.world.wipe(name) if name in stage.names(which) else stage.world.kill(name)
+
+
+@when("every door comes back")
+def all_back(stage: Stage) -> None:
+    for name, door in stage.world.doors.items():
+        if door.core is None:
+            stage.world.start(name)
+
+
+@when(parsers.re(r"the core is cut into (?P<one>[\d, ]+) and (?P<other>[\d, ]+)"))
+def core_cut(stage: Stage, one: str, other: str) -> None:
+    for a in stage.names(one):
+        for b in stage.names(other):
+            stage.world.cut |= {(a, b), (b, a)}
+
+
+def cut_off(world: World, name: str, ways: str = "both") -> None:
+    for other, door in world.doors.items():
+        if door.about.disk and other != name:
+            world.cut.add((other, name))
+            if ways == "both":
+                world.cut.add((name, other))
+
+
+@when(parsers.parse("door {door:d} is cut off from the core"))
+def door_cut(stage: Stage, door: int) -> None:
+    cut_off(stage.world, f"d{door}")
+
+
+@when(parsers.parse("door {door:d} hears nothing from the core"))
+def deaf(stage: Stage, door: int) -> None:
+    cut_off(stage.world, f"d{door}", "in")
+
+
+@when("the holder of the list is cut off from the core")
+def holder_cut(stage: Stage) -> None:
+    holder = stage.holder()
+    assert holder is not None
+    cut_off(stage.world, holder)
+
+
+@when("the links are mended")
+def mended(stage: Stage) -> None:
+    stage.world.cut.clear()
+
+
+@when("the holder of the list is killed")
+def holder_killed(stage: Stage) -> None:
+    holder = stage.holder()
+    assert holder is not None
+    stage.world.kill(holder)
+
+
+@when("the holder of the list leaves in order")
+def holder_leaves(stage: Stage) -> None:
+    holder = stage.holder()
+    assert holder is not None
+    core: Any = stage.world.doors[holder].core
+    stage.world.deeds(holder, core.drain(stage.world.now))
+
+
+@when("the doors that do not hold the list are killed and come back while its holder is cut off from one")
+def forgetful(stage: Stage) -> None:
+    holder = stage.holder()
+    others = [name for name in stage.world.up() if name != holder]
+    assert holder is not None
+    stage.world.cut |= {(holder, others[0]), (others[0], holder)}
+    for name in others:
+        stage.world.kill(name)
+        stage.world.start(name)
+
+
+@when(parsers.parse("the disks of doors {one:d} and {other:d} are full"))
+def full(stage: Stage, one: int, other: int) -> None:
+    for number in (one, other):
+        disk = stage.world.doors[f"d{number}"].disk
+        assert isinstance(disk, Disk)
+        disk.full = True
+
+
+@when("the disks have room again")
+def room(stage: Stage) -> None:
+    for door in stage.world.doors.values():
+        if door.disk is not None:
+            door.disk.full = False
+
+
+@when(parsers.re(r"the operator (?P<what>closes|opens) zone (?P<zone>\w+) at door (?P<door>\d+)"))
+def evacuate(stage: Stage, what: str, zone: str, door: str) -> None:
+    stage.world.evacuate(f"d{door}", zone, what == "closes")
+
+
+@when("a server is drained")
+def drained(stage: Stage) -> None:
+    listing = stage.world.listing
+    assert listing is not None
+    stage.world.listing = {"shop": {"i-1": replace(listing["shop"]["i-1"], accepting=False)}}
+
+
+@then(parsers.re(r"configuration (?P<number>\d+) is (?P<no>not )?acknowledged"))
+def told(stage: Stage, number: str, no: str | None) -> None:
+    assert stage.acknowledged(int(number))[-1] is (no is None)
+
+
+@then(parsers.parse("configuration {number:d} is acknowledged as soon as can be"))
+def told_soon(stage: Stage, number: int) -> None:
+    for _ in range(200):
+        stage.world.run(0.005)
+        if stage.acknowledged(number)[-1]:
+            return
+    raise AssertionError("it was not acknowledged within a second")
+
+
+@then("both are acknowledged")
+def both(stage: Stage) -> None:
+    assert all(
+        len(found) == 2 and all(found) for found in [stage.acknowledged(n) for n in list(stage.tokens)[-1:]]
+    )
+
+
+@then(parsers.parse("every door uses configuration {number:d}"))
+def all_use(stage: Stage, number: int) -> None:
+    assert set(stage.numbers().values()) == {number}
+
+
+@then(parsers.re(r"every door holds the same configuration \d+|all core doors hold the same"))
+def same(stage: Stage) -> None:
+    cores: list[Any] = [stage.world.doors[name].core for name in stage.world.up()]
+    assert len({core.copies.stamp(WORD) for core in cores}) == 1
+
+
+@then(parsers.re(r"reading at door (?P<door>\d+) gives (?P<what>nothing|configuration (?P<number>\d+))"))
+def reading(stage: Stage, door: str, what: str, number: str | None) -> None:
+    token = stage.world.read(f"d{door}")
+    stage.world.run(3.5)
+    result = stage.world.results[token]
+    assert result.good is (what != "nothing")
+    if result.item is not None and number is not None:
+        assert stage.world.number_in(result.item) == int(number)
+
+
+@then(parsers.re(r"door (?P<door>\d+) has (?P<what>no|its) voice"))
+def voice(stage: Stage, door: str, what: str) -> None:
+    core: Any = stage.world.doors[f"d{door}"].core
+    assert core.voice is (what == "its")
+
+
+@then(parsers.re(r"door (?P<door>\d+) lets (?P<no>no )?keyed requests in"))
+def lets_in(stage: Stage, door: str, no: str | None) -> None:
+    assert stage.world.fresh(f"d{door}") is (no is None)
+
+
+@then("the list has a holder")
+def has_holder(stage: Stage) -> None:
+    assert stage.holder() is not None
+
+
+@then(parsers.re(r"(zone (?P<zone>\w+)|no zone) is closed at (every|any) door"))
+def closed(stage: Stage, zone: str | None) -> None:
+    for name in stage.world.up():
+        core: Any = stage.world.doors[name].core
+        assert core.copies.zones() == (frozenset((zone,)) if zone else frozenset())
+
+
+@then("every door knows that it is drained")
+def knows(stage: Stage) -> None:
+    for name in stage.world.up():
+        core: Any = stage.world.doors[name].core
+        assert not core.news.tables["shop"].servers["i-1"].accepting
