Stand-ins, yard and operator's client; tests of requests, the disk and real processes

Need: a stranger starts the system by one command (python3 -m apiary) and operates it by another (python3 -m keeper); failures between real processes are tested: SIGKILL of all, a wiped disk, SIGSTOP across a key's removal, a lost answer, a drain. A quota property plays eleven doors and two dead owners.

--- /dev/null
+++ b/apiary/__init__.py
@@ -0,0 +1,1 @@
+"""apiary: doors, a stand-in platform and stand-in servers on loopback addresses, to try the system and to break it."""
--- /dev/null
+++ b/apiary/stands.py
@@ -0,0 +1,125 @@
+"""A stand-in platform and stand-in servers: the published protocol, as much of it as doors use."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+Headers = dict[str, str]
+Handler = Callable[[str, str, Headers, bytes], Awaitable[tuple[int, Headers, bytes]]]
+
+
+async def serve(handler: Handler, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Requests of one connection, one after another; bodies with a length or in chunks."""
+    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, ValueError):
+        while True:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+            method, path, _ = head[0].split(" ", 2)
+            headers = {
+                key.lower(): value.strip()
+                for key, _, value in (line.partition(":") for line in head[1:] if line)
+            }
+            body = await reader.readexactly(int(headers.get("content-length", 0)))
+            while headers.get("transfer-encoding") == "chunked":
+                size = int((await reader.readline()).strip(), 16)
+                body += (await reader.readexactly(size + 2))[:size]
+                if not size:
+                    break
+            status, more, answer = await handler(method, path, headers, body)
+            if status == 0:
+                break  # cut: the request has run, and nobody is told
+            text = f"HTTP/1.1 {status} Answer\r\nContent-Length: {len(answer)}\r\n"
+            text += "".join(f"{key}: {value}\r\n" for key, value in more.items())
+            writer.write(text.encode() + b"\r\n" + answer)
+            await writer.drain()
+    writer.close()
+
+
+@dataclass
+class Server:
+    """A server's life; what it ran is counted by attempt id."""
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int = 2
+    state: str = "accepting"
+    work: float = 0.01
+    cut: bool = False  # it runs a request and its answer is lost
+    ran: Counter[str] = field(default_factory=Counter)
+    tenants: set[str] = field(default_factory=set)
+    busy: int = 0
+
+    async def handle(
+        self, method: str, path: str, headers: Headers, body: bytes
+    ) -> tuple[int, Headers, bytes]:
+        if path == "/health":
+            return 200, {"X-Hazelspring-Answering-Instance": self.id}, b"well\n"
+        if headers.get("x-hazelspring-expected-instance", self.id) != self.id:
+            return 421, {"X-Hazelspring-Answering-Instance": self.id, "X-Hazelspring-Not-Executed": "1"}, b""
+        attempt = headers.get("x-hazelspring-attempt-id", "")
+        if not attempt:
+            return 400, {"X-Hazelspring-Not-Executed": "1"}, b""
+        self.ran[attempt] += 1
+        self.tenants.add(headers.get("x-hazelspring-tenant-name", ""))
+        self.busy += 1
+        await asyncio.sleep(self.work)
+        self.busy -= 1
+        if self.cut:
+            return 0, {}, b""
+        return (
+            200,
+            {
+                "X-Hazelspring-Attempt-Id": attempt,
+                "X-Hazelspring-Server-Seal": f"seal-{self.id}",
+                "X-Hazelspring-Server-Load": f"{self.busy},0,{self.slots}",
+            },
+            f"{self.id} {method} {path} {len(body)}\n".encode(),
+        )
+
+
+class Stands:
+    """The platform and all servers, in one loop."""
+
+    def __init__(self, platform: str, servers: list[Server]) -> None:
+        self.platform, self.servers = platform, servers
+        self.calls = 0
+        self.listening: list[asyncio.Server] = []
+
+    async def start(self) -> None:
+        for server in self.servers:
+            await self.listen(server.address, server.handle)
+        await self.listen(self.platform, self.instances)
+
+    async def listen(self, address: str, handler: Handler) -> None:
+        host, _, port = address.rpartition(":")
+
+        async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await serve(handler, reader, writer)
+
+        self.listening.append(await asyncio.start_server(accept, host, int(port)))
+
+    async def instances(
+        self, method: str, path: str, headers: Headers, body: bytes
+    ) -> tuple[int, Headers, bytes]:
+        self.calls += 1
+        if not path.startswith("/instances"):
+            return 404, {}, b""
+        listed = {
+            s.id: {
+                "service": s.service, "address": s.address, "zone": s.zone, "versionNumber": "v1",
+                "capacitySlots": s.slots, "serverState": s.state, "coldRemainingMs": 0,
+            }
+            for s in self.servers
+        }  # fmt: skip
+        answer = json.dumps({"instanceList": listed, "nextToken": None}).encode()
+        return 200, {"Content-Type": "application/json"}, answer
+
+    def close(self) -> None:
+        for server in self.listening:
+            server.close()
--- /dev/null
+++ b/apiary/yard.py
@@ -0,0 +1,165 @@
+"""Doors as processes on loopback addresses: settings, start, signals, wiped disks, and a client's request."""
+
+from __future__ import annotations
+
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from pathlib import Path
+from typing import Any
+
+from apiary.stands import Server
+
+ROOT = Path(__file__).parent.parent
+ZONES = {"north-1": "north", "north-2": "north", "south-1": "south", "south-2": "south"}
+KEY = "key-of-green"
+
+
+def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
+    """Ports that nobody listened on a moment ago."""
+    held = []
+    for _ in range(count):
+        held.append(socket.socket())
+        held[-1].bind((host, 0))
+    ports = [one.getsockname()[1] for one in held]
+    for one in held:
+        one.close()
+    return ports
+
+
+def configuration(number: int, timeout_ms: int = 4000, keys: tuple[str, ...] = (KEY,)) -> bytes:
+    """A small configuration: reads and writes of one service, one tenant."""
+
+    def route(name: str, prefix: str, kind: str) -> dict[str, Any]:
+        spec = {
+            "hostName": "shop.example", "pathPrefix": prefix, "routeKind": kind, "timeoutMs": timeout_ms,
+            "targetAnswerMs": 800, "priority": 1, "service": "shop", "maximumAttempts": 2,
+        }  # fmt: skip
+        return {"resourceKind": "routeTable", "metadata": {"name": name}, "specification": spec}
+
+    service = {"healthPath": "/health", "connectionLimit": 100, "coldStartS": 0.2, "coldPerS": 2}
+    tenant = {"accessKeys": list(keys), "requestsPerS": 200, "burstSize": 200}
+    resources = [
+        route("reads", "/read/", "read_only"),
+        route("writes", "/write/", "mutating"),
+        {"resourceKind": "serviceTable", "metadata": {"name": "shop"}, "specification": service},
+        {"resourceKind": "tenantTable", "metadata": {"name": "green"}, "specification": tenant},
+    ]
+    return json.dumps({"versionNumber": f"r{number}", "resourceList": resources}).encode()
+
+
+class Yard:
+    """So many core doors and others; each has an address of its own in 127.0.0.0/8, and all have the same ports."""
+
+    def __init__(self, folder: Path, core: int = 4, others: int = 2, servers: int = 4) -> None:
+        self.folder, self.core = folder, core
+        self.front, self.ready, self.control, self.directory, self.port, self.platform_port, web = free_ports(
+            7
+        )
+        net = f"127.{os.getpid() >> 8 & 255}.{os.getpid() & 255}"
+        self.ips = [f"{net}.{n + 1}" for n in range(core + others)]
+        self.zones = [list(ZONES)[n % len(ZONES)] for n in range(core + others)]
+        self.platform = f"{net}.200:{self.platform_port}"
+        self.servers = [
+            Server(f"i-{n}", "shop", f"{net}.{100 + n}:{web}", list(ZONES)[n % len(ZONES)])
+            for n in range(servers)
+        ]
+        self.processes: dict[int, subprocess.Popen[bytes]] = {}
+        self.started = False
+
+    def settings(self, n: int, first: bool) -> Path:
+        ip, zone = self.ips[n], self.zones[n]
+        data = self.folder / f"door-{n + 1}"
+        if n < self.core:
+            data.mkdir(parents=True, exist_ok=True)
+        lines = {
+            "thisDoor.nodeName": f"door-{n + 1}",
+            "thisDoor.internetAddress": ip,
+            "thisDoor.zone": zone,
+            "thisDoor.answerRegion": ZONES[zone],
+            "thisDoor.firstStart": str(first).lower(),
+            "thisDoor.dataDirectory": str(data) if n < self.core else "",
+            "network.listenAddresses.front": f"{ip}:{self.front}",
+            "network.listenAddresses.readiness": f"{ip}:{self.ready}",
+            "network.listenAddresses.controlAddress": f"{ip}:{self.control}",
+            "network.listenAddresses.directoryAddress": f"{ip}:{self.directory}",
+            "network.internalPorts": f"{self.port},{self.port}",
+            "network.seedNodes": ",".join(f"{seed}:{self.control}" for seed in self.ips[:3]),
+            **{f"network.zones.{name}": region for name, region in ZONES.items()},
+            "platformSettings.cloudInterface.address": self.platform,
+            "timingTerms.ruleBounds.budgetSlack": "60",
+            "timingTerms.ruleBounds.quotaSlack": "20",
+        }
+        path = self.folder / f"door-{n + 1}.conf"
+        path.write_text("".join(f"{key}={value}\n" for key, value in lines.items()))
+        return path
+
+    def start(self, n: int, first: bool = False) -> None:
+        environment = {**os.environ, "HAZELSPRING_SETTINGS": str(self.settings(n, first))}
+        with (self.folder / f"door-{n + 1}.log").open("ab") as log:
+            command = [sys.executable, "-m", "hive", "door"]
+            self.processes[n] = subprocess.Popen(command, cwd=ROOT, env=environment, stdout=log, stderr=log)
+
+    def start_all(self, first: bool = False) -> None:
+        for n in range(len(self.ips)):
+            self.start(n, first)
+
+    def kill(self, n: int, number: signal.Signals = signal.SIGKILL) -> None:
+        process = self.processes.pop(n)
+        process.send_signal(number)
+        process.wait(15)
+
+    def wipe(self, n: int) -> None:
+        shutil.rmtree(self.folder / f"door-{n + 1}")
+
+    def close(self) -> None:
+        for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        for process in self.processes.values():
+            process.wait(10)
+
+    def controls(self) -> list[str]:
+        return [f"{ip}:{self.control}" for ip in self.ips]
+
+    def ask(self, n: int, method: str, path: str, attempt: str, key: str = KEY) -> tuple[int, bytes]:
+        """A client's request at one door: status and body; status 0 where the connection ended without one."""
+        headers = {
+            "Host": "shop.example", "X-Hazelspring-Attempt-Id": attempt, "Authorization": f"Bearer {key}",
+            "X-Hazelspring-Remaining-Milliseconds": "3000",
+        }  # fmt: skip
+        body = b"" if method == "POST" else None
+        request = urllib.request.Request(
+            f"http://{self.ips[n]}:{self.front}{path}", body, headers, method=method
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=5) as answer:
+                return answer.status, answer.read()
+        except urllib.error.HTTPError as error:
+            return error.code, error.read()
+        except OSError:
+            return 0, b""
+
+    def is_ready(self, n: int) -> bool:
+        try:
+            with urllib.request.urlopen(
+                f"http://{self.ips[n]}:{self.ready}/-/readiness", timeout=1
+            ) as answer:
+                return bool(answer.status == 200)
+        except OSError:
+            return False
+
+    def until(self, what: Any, seconds: float = 20.0) -> None:
+        """Wait for something to become true; raises TimeoutError after so long."""
+        end = time.monotonic() + seconds
+        while not what():
+            if time.monotonic() > end:
+                raise TimeoutError(f"not within {seconds} s")
+            time.sleep(0.05)
--- a/ivymux/host.py
+++ b/ivymux/host.py
@@ -167,7 +167,9 @@
     ) -> Open:
         self.number += 1
         event = make(self.number)
-        request = Open(self.number, payload, caller, timeout, self.limits, upload, self.counts.label(name), mark)
+        request = Open(
+            self.number, payload, caller, timeout, self.limits, upload, self.counts.label(name), mark
+        )
         self.table[request.number] = request
         self.waiting += 1
         if upload is None:
--- /dev/null
+++ b/keeper/__init__.py
@@ -0,0 +1,1 @@
+"""keeper: the operator's client."""
--- /dev/null
+++ b/keeper/__main__.py
@@ -0,0 +1,112 @@
+"""The operator's command line: python3 -m keeper --door HOST:PORT CALL."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+from keeper.calls import Answer, OrderError, once, order
+
+
+def parser() -> argparse.ArgumentParser:
+    made = argparse.ArgumentParser(prog="keeper", description="Orders to hazelspring's doors.")
+    made.add_argument(
+        "--door", action="append", metavar="HOST:PORT",
+        help="a door's control address; may stand more than once, and is else read from HAZELSPRING_DOORS (commas)",
+    )  # fmt: skip
+    made.add_argument("--patience", type=float, default=20.0, help="seconds until an order is given up (20)")
+    calls = made.add_subparsers(dest="call", required=True)
+    put = calls.add_parser("put", help="send a configuration; `-` reads standard input")
+    put.add_argument("file")
+    get = calls.add_parser("get", help="read the newest configuration back")
+    get.add_argument("--out", help="write it to a file, whole or not at all")
+    for name, text in (
+        ("evacuate", "send nothing to a zone's servers"),
+        ("return", "take an evacuation back"),
+    ):
+        calls.add_parser(name, help=text).add_argument("zone")
+    calls.add_parser("status", help="what each door says of itself")
+    calls.add_parser("check", help="say whether a configuration would be taken").add_argument("file")
+    return made
+
+
+def read(path: str) -> bytes:
+    return sys.stdin.buffer.read() if path == "-" else Path(path).read_bytes()
+
+
+def statuses(doors: Sequence[str]) -> int:
+    """One line a door; the exit status tells whether all are ready."""
+    bad = 0
+    for door in doors:
+        try:
+            said = json.loads(once(door, "GET", "/-/status", None, 1.0).body)
+        except (OSError, ValueError) as error:
+            print(f"{door}  does not answer: {error}")
+            bad = 1
+            continue
+        core = sum(said["core"].values())
+        print(
+            f"{door}  {said['name']}  {'ready' if said['ready'] else 'NOT READY'}"
+            f"  configuration {said['configuration']}  core {core}/{len(said['core'])}"
+            f"  doors {len(said['doors'])}  closed {','.join(said['closedZones']) or 'none'}"
+            f"  servers {sum(said['servers'].values())}  fresh for {said['freshForS']} s"
+        )
+        bad |= not said["ready"]
+    return bad
+
+
+def write(path: str, body: bytes) -> None:
+    """A file is there whole or as it was."""
+    part = Path(f"{path}.part")
+    part.write_bytes(body)
+    part.replace(path)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    chosen = parser().parse_args(arguments)
+    doors = chosen.door or [d for d in os.environ.get("HAZELSPRING_DOORS", "").split(",") if d]
+    try:
+        if chosen.call == "check":
+            from comb.check import Invalid, check
+
+            try:
+                print(f"{chosen.file}: would be taken as r{check(read(chosen.file))}")
+            except Invalid as error:
+                print(f"{chosen.file}: {error}", file=sys.stderr)
+                return 1
+            return 0
+        if not doors:
+            print("keeper: no door: use --door HOST:PORT, or HAZELSPRING_DOORS", file=sys.stderr)
+            return 2
+        answer: Answer
+        match chosen.call:
+            case "status":
+                return statuses(doors)
+            case "put":
+                answer = order(doors, "PUT", "/-/configuration", read(chosen.file), chosen.patience)
+            case "get":
+                answer = order(doors, "GET", "/-/configuration", None, chosen.patience)
+                if chosen.out:
+                    write(chosen.out, answer.body)
+                else:
+                    print(answer.body.decode())
+                return 0
+            case "evacuate" | "return":
+                method = "POST" if chosen.call == "evacuate" else "DELETE"
+                answer = order(doors, method, f"/-/evacuation/{chosen.zone}", None, chosen.patience)
+        print(f"acknowledged by {answer.door}")
+        return 0
+    except OrderError as error:
+        print(f"keeper: {error.code}: {error}", file=sys.stderr)
+        return 1
+    except OSError as error:
+        print(f"keeper: {error}", file=sys.stderr)
+        return 2
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/keeper/calls.py
@@ -0,0 +1,92 @@
+"""An order to any door that serves control calls: the next door after a failure, with a growing pause."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from urllib.parse import urlsplit
+
+SILENCE = 1.0  # seconds for an answer before the next door is asked,
+PER_MEGABYTE = 4.0  # and so many more for each megabyte that is sent
+PAUSES = (0.1, 0.2, 0.4, 0.8, 1.6)  # seconds between tries
+MOST_REDIRECTS = 2
+
+
+class OrderError(Exception):
+    """An order that was refused, or that no door has settled: its text names the step and the door."""
+
+    def __init__(self, code: str, text: str) -> None:
+        super().__init__(text)
+        self.code = code
+
+
+@dataclass(frozen=True)
+class Answer:
+    status: int
+    body: bytes
+    door: str
+
+
+def once(door: str, method: str, path: str, body: bytes | None, patience: float) -> Answer:
+    """One call to one door, following its redirects; raises OSError or HTTPException."""
+    for _ in range(MOST_REDIRECTS + 1):
+        host, _, port = door.rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=patience)
+        try:
+            headers = {"Content-Type": "application/json"} if body is not None else {}
+            connection.request(method, path, body, headers)
+            answer = connection.getresponse()
+            found = Answer(answer.status, answer.read(), door)
+            target = answer.getheader("Location")
+        finally:
+            connection.close()
+        if found.status != 307 or not target:
+            return found
+        door, path = urlsplit(target).netloc, urlsplit(target).path
+    return found
+
+
+def order(
+    doors: Sequence[str],
+    method: str,
+    path: str,
+    body: bytes | None = None,
+    patience: float = 20.0,
+    sleep: Callable[[float], None] = time.sleep,
+) -> Answer:
+    """Settle an order at one of the doors; raises OrderError where it is refused or not settled in time.
+
+    An order whose answer is unclear is sent again unchanged: a configuration is known by its number, and an
+    evacuation asks for a state.
+    """
+    end = time.monotonic() + patience
+    silence = SILENCE + PER_MEGABYTE * len(body or b"") / 1e6
+    last = "no door was asked"
+    tries = 0
+    while time.monotonic() < end:
+        door = doors[tries % len(doors)]
+        try:
+            answer = once(door, method, path, body, silence)
+        except (OSError, http.client.HTTPException) as error:
+            last = f"{method} {path} at {door}: {str(error) or type(error).__name__}"
+        else:
+            if answer.status < 300:
+                return answer
+            last = f"{method} {path} at {door}: {answer.status} {problem(answer.body)}"
+            if answer.status < 500 and answer.status not in (408, 429):
+                raise OrderError("refused", last)
+        sleep(min(PAUSES[min(tries, len(PAUSES) - 1)], max(0.0, end - time.monotonic())))
+        tries += 1
+    raise OrderError("unsettled", f"not settled within {patience:g} s; last: {last}")
+
+
+def problem(body: bytes) -> str:
+    """What a door says is wrong."""
+    try:
+        said = json.loads(body)
+        return f"{said['code']}: {said['problem']}"
+    except (ValueError, KeyError, TypeError):
+        return body[:200].decode(errors="replace")
--- /dev/null
+++ b/tests/test_forage.py
@@ -0,0 +1,259 @@
+"""Requests at one door, without sockets: what runs twice, what is promised, where it may go, how much a tenant gets."""
+
+from __future__ import annotations
+
+import json
+import random
+from typing import Any
+
+import pytest
+
+from comb.check import Invalid, check
+from comb.word import read
+from forage.fleet import Fleet
+from forage.gate import Asked, Deny, Forager, Granted, Lapsed, Lease, Rule, Tick
+from nectar.bounds import QuotaRule
+from nectar.counter import Counter
+from nectar.credits import Call, Credits
+from orchidhill import interface as i
+from orchidhill.interface import Outcome
+from waggle.news import Server, parse
+
+ZONES = {"a1": "a", "a2": "a", "b1": "b"}
+
+
+def document(**changes: Any) -> dict[str, Any]:
+    def entry(kind: str, name: str, **spec: Any) -> dict[str, Any]:
+        return {"resourceKind": kind, "metadata": {"name": name}, "specification": spec}
+
+    base = {"hostName": "h", "timeoutMs": 5000, "targetAnswerMs": 800, "priority": 1, "maximumAttempts": 2}
+    home = {**base, "homeRegions": ["b"]}
+    return {
+        "versionNumber": "r3",
+        "resourceList": [
+            entry("routeTable", "reads", pathPrefix="/r/", routeKind="read_only", service="shop", **base),
+            entry("routeTable", "deep", pathPrefix="/r/deep/", routeKind="read_only", service="shop", **base),
+            entry("routeTable", "writes", pathPrefix="/w/", routeKind="mutating", service="shop", **base),
+            entry(
+                "routeTable",
+                "home",
+                pathPrefix="/h/",
+                routeKind="mutating",
+                service="shop",
+                homeRegions=["b"],
+                **base,
+            ),
+            entry(
+                "serviceTable", "shop", healthPath="/health", connectionLimit=9, coldStartS=3.0, coldPerS=2
+            ),
+            entry("tenantTable", "green", accessKeys=["k1"], requestsPerS=10, burstSize=10),
+            entry("tenantTable", "free", accessKeys=["k2"]),
+        ],
+        **changes,
+    }
+
+
+WORD = read(json.dumps(document()).encode())
+
+
+def servers(*names: str, accepting: bool = True) -> list[Server]:
+    """Servers named by their zone and a number: a1-0."""
+    return [Server(name, f"{name}:1", name.split("-")[0], accepting, 2, "v1") for name in names]
+
+
+class Gate:
+    def __init__(self, *names: str) -> None:
+        fleet = Fleet("a1", "a", ZONES, random.Random(1))
+        self.forager, self.now, self.number = Forager(Rule(), fleet, 1), 10.0, 0
+        self.forager.take_word(WORD)
+        self.forager.listed(self.now, "shop", servers(*names))
+        self.forager.fresh_until = 1e9
+
+    def ask(self, path: str, tenant: str = "free", left: float = 4.0) -> list[Any]:
+        self.number += 1
+        route = WORD.route("h", path)
+        assert route is not None
+        return self.handle(Asked(self.number, route, WORD.tenants[tenant], left, False))
+
+    def handle(self, event: Any) -> list[Any]:
+        return list(self.forager.handle(self.now, event))
+
+    def ends(self, send: i.Send, outcome: Outcome, spent: float = 0.2) -> list[Any]:
+        self.now += spent
+        return self.handle(i.Finished(send.request, 0, send.backend, outcome, False, spent, 0, 0, ()))
+
+    def name(self, send: i.Send) -> str:
+        return self.forager.fleet.servers[send.backend].id
+
+
+@pytest.mark.parametrize("outcome", [Outcome.RESET, Outcome.ERROR, Outcome.TIMEOUT])
+def test_a_write_that_may_have_run_is_sent_to_nobody_else_and_promised_nothing(outcome: Outcome) -> None:
+    gate = Gate("a1-0", "a1-1")
+    (send,) = gate.ask("/w/1")
+    assert gate.ends(send, outcome) == [i.Fail(send.request)]
+
+
+@pytest.mark.parametrize("outcome", [Outcome.FULL, Outcome.CONNECT_FAILED])
+def test_a_write_that_never_ran_goes_to_another_server_then_is_refused(outcome: Outcome) -> None:
+    gate = Gate("a1-0", "a1-1")
+    (send,) = gate.ask("/w/1")
+    (again,) = gate.ends(send, outcome)
+    assert isinstance(again, i.Send) and gate.name(again) != gate.name(send)
+    (refused,) = gate.ends(again, outcome)
+    assert isinstance(refused, i.Refuse) and refused.retry_after > 0
+
+
+def test_a_read_is_tried_elsewhere_until_its_attempts_or_the_allowance_end() -> None:
+    gate = Gate("a1-0", "a1-1", "a1-2")
+    (send,) = gate.ask("/r/1")
+    (again,) = gate.ends(send, Outcome.RESET)
+    assert isinstance(again, i.Send)
+    assert gate.ends(again, Outcome.RESET) == [i.Fail(send.request)]
+    gate.forager.doors, further = 1, 0
+    for _ in range(200):  # all fail: further tries stay within half of the rule's ratio and slack
+        (send,) = [a for a in gate.ask("/r/1") if isinstance(a, i.Send)]
+        further += any(isinstance(a, i.Send) for a in gate.ends(send, Outcome.RESET, 0.0))
+    assert 30 < further + 1 <= 0.1 * 201 + 31
+
+
+def test_homes_evacuations_draining_and_cold_servers_leave_none() -> None:
+    gate = Gate("a1-0", "b1-0")
+    (send,) = gate.ask("/h/1")
+    assert gate.name(send) == "b1-0"
+    gate.forager.close(gate.now, frozenset(("b1",)))
+    assert isinstance(gate.ask("/h/1")[0], i.Refuse)
+    gate.forager.close(gate.now, frozenset())
+    assert isinstance(gate.ask("/h/1")[0], i.Refuse)  # taken back: its servers may be cold
+    gate.now += 4.0
+    assert isinstance(gate.ask("/h/1")[0], i.Send)
+    gate.forager.listed(gate.now, "shop", servers("a1-0", "b1-9"))  # a new life is cold
+    assert isinstance(gate.ask("/h/1")[0], i.Refuse)
+    gate.forager.listed(gate.now, "shop", servers("a1-0", "b1-9", accepting=False))
+    gate.now += 9.0
+    assert isinstance(gate.ask("/h/1")[0], i.Refuse) and isinstance(gate.ask("/r/1")[0], i.Refuse)
+
+
+def test_a_door_that_heard_nothing_fresh_refuses_keyed_requests_at_once() -> None:
+    gate = Gate("a1-0")
+    gate.forager.fresh_until = gate.now - 0.01
+    (refused,) = gate.ask("/w/1")
+    assert isinstance(refused, i.Refuse) and refused.retry_after > 0
+
+
+def test_load_that_others_tell_of_sends_requests_elsewhere() -> None:
+    gate = Gate("a1-0", "a1-1")
+    gate.forager.fleet.danced(gate.now, "d2", {"a1-0": 6})
+    gate.forager.fleet.sum_up(gate.now)
+    assert {gate.name(gate.ask("/r/1")[0]) for _ in range(3)} == {"a1-1"}
+    gate.now += 2.0
+    gate.forager.fleet.sum_up(gate.now)
+    assert "a1-0" in {gate.name(gate.ask("/r/1")[0]) for _ in range(6)}
+
+
+def test_a_denied_lease_refuses_until_the_edge_and_a_lost_counter_shortly() -> None:
+    gate = Gate("a1-0")
+    (lease,) = gate.ask("/r/1", "green")
+    assert isinstance(lease, Lease)
+    assert gate.ask("/r/1", "green") == []  # one lease in flight: others wait for it
+    granted = Granted("green", lease.call.number, 1.0, 0.6, 1.0)
+    send, deny = gate.handle(granted)
+    assert isinstance(send, i.Send) and isinstance(deny, Deny) and 0.5 < deny.retry_after <= 0.6
+    gate.now += 0.7
+    (lease,) = gate.ask("/r/1", "green")
+    (refused,) = gate.handle(Lapsed("green"))
+    assert isinstance(refused, i.Refuse)
+    gate.ask("/r/1", "green")
+    for _ in range(10):
+        gate.now += 0.1
+        ended = [a for a in gate.handle(Tick()) if isinstance(a, i.Refuse)]
+        if ended:
+            break
+    assert ended  # a counter that does not answer is given up on
+
+
+def test_no_span_sees_more_than_the_rule_whatever_doors_and_owners_do() -> None:
+    """Eleven doors ask as fast as they can, calls are lost, and the counter moves to a new owner twice."""
+    rule, rate, burst, dice = QuotaRule(), 10.0, 10.0, random.Random(5)
+    doors = [Credits(rule) for _ in range(11)]
+    served: list[float] = []
+    counter, until, now = Counter(rule.window), 0.0, 50.0
+    flying: list[tuple[float, Credits, Call]] = []
+    for tick in range(3000):
+        now += 0.01
+        if tick in (900, 1700):  # its owner died: a new one starts when the old one's lease has ended
+            counter, dead = Counter(rule.window), until
+        owner = tick < 900 or now >= dead
+        until = now + 1.0 if owner else until
+        for door in doors:
+            door.take(now, "green", rate, burst, tick, 11)
+            door.tick(now)
+            flying += [(now + dice.choice((0.001, 0.02, 0.04)), door, call) for call in door.calls]
+            door.calls = []
+            served += [now for verdict in door.verdicts if verdict.granted]
+            door.verdicts = []
+        due, flying = [f for f in flying if f[0] <= now], [f for f in flying if f[0] > now]
+        for _, door, call in due:
+            if owner and dice.random() > 0.1:
+                granted = counter.lease(now, until, "green", call.units, rule.limit(rate, burst))
+                door.granted(now, "green", call.number, *granted)
+    most = max(
+        sum(start <= t < start + rule.span for t in served) for start in [50 + n * 0.1 for n in range(250)]
+    )
+    assert most <= (rate * rule.span + burst) * (1 + rule.overage) + rule.slack
+    assert len(served) / 30 > rate  # and the tenant gets what it pays for
+
+
+def test_routes_by_the_longest_prefix_and_splits_by_weight() -> None:
+    found = WORD.route("h", "/r/deep/x")
+    assert found is not None and found.name == "deep" and WORD.route("h", "/none/") is None
+    split = document()
+    split["resourceList"][0]["specification"].update(
+        service=None,
+        weightedSplit=[{"service": "shop", "shareWeight": 0}, {"service": "other", "shareWeight": 5}],
+    )
+    route = read(json.dumps(split).encode()).route("h", "/r/")
+    assert route is not None and {route.service(n / 10) for n in range(10)} == {"other"}
+
+
+def changed(entry: int, **spec: Any) -> dict[str, Any]:
+    made = document()
+    made["resourceList"][entry]["specification"].update(spec)
+    return made
+
+
+@pytest.mark.parametrize(
+    ("body", "field"),
+    [
+        (json.dumps(document())[:-9], "body"),
+        ("[1]", "_schema"),
+        (json.dumps(document(versionNumber="12")), "versionNumber"),
+        (json.dumps(changed(0, service="none")), "routeTable.reads.service"),
+        (json.dumps(changed(0, pathPrefix="/w/")), "pathPrefix"),
+        (json.dumps(changed(0, weightedSplit=[{"service": "shop", "shareWeight": 0}])), "weightedSplit"),
+        (json.dumps(changed(0, weightedSplit=[])), "weightedSplit"),
+        (json.dumps(changed(0, timeoutMs=0)), "timeoutMs"),
+        (json.dumps(changed(0, targetAnswerMs=65_000)), "targetAnswerMs"),
+        (json.dumps(changed(0, routeKind="odd")), "routeKind"),
+        (json.dumps(changed(6, accessKeys=["k1"])), "accessKeys"),
+        (json.dumps(changed(0, hostName=5)), "hostName"),
+    ],
+)
+def test_every_invalid_configuration_is_refused_by_its_field(body: str, field: str) -> None:
+    with pytest.raises(Invalid, match=field):
+        check(body.encode())
+    assert check(json.dumps(document()).encode()) == 3
+
+
+def test_a_page_that_is_none_is_no_list() -> None:
+    entry = {
+        "service": "s",
+        "address": "x:1",
+        "zone": "a1",
+        "serverState": "draining",
+        "coldRemainingMs": 1500,
+    }
+    (found,) = parse([json.dumps({"instanceList": {"i": entry}}).encode()], 5.0)["s"].values()
+    assert not found.accepting and found.cold_until == 6.5
+    for page in (b"{}", b"nothing", b'{"instanceList": {"i": {}}}'):
+        with pytest.raises(ValueError):
+            parse([page], 5.0)
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,118 @@
+"""Failures between real processes: kills, a stop, a wiped disk, lost answers; the verdict is the same every time."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from apiary.__main__ import Background
+from apiary.stands import Stands
+from apiary.yard import KEY, Yard, configuration
+from keeper.__main__ import main as keeper
+from keeper.calls import OrderError, once, order
+
+
+@pytest.fixture(scope="module")
+def yard(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Yard]:
+    made = Yard(tmp_path_factory.mktemp("yard"))
+    background = Background(Stands(made.platform, made.servers))
+    try:
+        made.start_all(first=True)
+        order(made.controls(), "PUT", "/-/configuration", configuration(1), 30.0)
+        made.until(lambda: all(made.ask(n, "GET", "/read/a", f"first-{n}")[0] == 200 for n in range(6)))
+        yield made
+    finally:
+        made.close()
+        background.close()
+
+
+def status(yard: Yard, n: int) -> Any:
+    """What a door says of itself; nothing while it does not answer."""
+    try:
+        return json.loads(once(yard.controls()[n], "GET", "/-/status", None, 2).body)
+    except OSError:
+        return {}
+
+
+def number_at(yard: Yard, n: int) -> int:
+    answer = order([yard.controls()[n]], "GET", "/-/configuration")
+    return int(json.loads(answer.body)["versionNumber"][1:])
+
+
+def test_a_killed_door_with_a_wiped_disk_catches_up_and_is_a_voice_again(yard: Yard) -> None:
+    yard.kill(1)
+    yard.wipe(1)
+    order([yard.controls()[4]], "PUT", "/-/configuration", configuration(7))
+    yard.start(1)
+    yard.until(lambda: status(yard, 1).get("voice"))
+    assert number_at(yard, 1) == 7
+    yard.until(lambda: yard.ask(1, "GET", "/read/a", "after-wipe")[0] == 200)
+
+
+def test_all_processes_are_killed_at_once_and_nothing_is_lost(yard: Yard) -> None:
+    order(yard.controls(), "PUT", "/-/configuration", configuration(9))
+    order(yard.controls(), "POST", "/-/evacuation/south-1")
+    for n in range(6):
+        yard.kill(n)
+    yard.start_all()
+    yard.until(lambda: all(yard.is_ready(n) for n in range(6)))
+    said = status(yard, 5)
+    assert said["configuration"] == 9 and said["closedZones"] == ["south-1"]
+    order(yard.controls(), "DELETE", "/-/evacuation/south-1")
+    yard.until(lambda: all(yard.ask(n, "GET", "/read/a", f"back-{n}")[0] == 200 for n in range(6)))
+
+
+def test_a_door_that_was_stopped_lets_no_key_in_that_went_meanwhile(yard: Yard) -> None:
+    order(yard.controls(), "PUT", "/-/configuration", configuration(11, keys=(KEY, "leaving")))
+    yard.until(lambda: yard.ask(5, "GET", "/read/a", "before", "leaving")[0] == 200)
+    process = yard.processes[5]
+    process.send_signal(signal.SIGSTOP)
+    order(yard.controls()[:5], "PUT", "/-/configuration", configuration(12))
+    yard.until(lambda: all(yard.ask(n, "GET", "/read/a", f"gone-{n}", "leaving")[0] == 401 for n in range(5)))
+    process.send_signal(signal.SIGCONT)
+    yard.until(lambda: yard.ask(5, "GET", "/read/a", "after", "leaving")[0] == 401)
+    assert yard.ask(5, "GET", "/read/a", "after", KEY)[0] == 200
+
+
+def test_a_write_whose_answer_is_lost_runs_once_and_gets_no_promise(yard: Yard) -> None:
+    for server in yard.servers:
+        server.cut = True
+    found, _ = yard.ask(0, "POST", "/write/a", "lost-1")
+    for server in yard.servers:
+        server.cut = False
+    assert found == 502
+    assert sum(server.ran["lost-1"] for server in yard.servers) == 1
+    assert all(server.tenants <= {"green"} for server in yard.servers)
+
+
+def test_a_door_leaves_in_order_and_answers_what_it_holds(yard: Yard) -> None:
+    process = yard.processes[4]
+    process.send_signal(signal.SIGTERM)
+    yard.until(lambda: not yard.is_ready(4))
+    assert yard.ask(4, "GET", "/read/a", "late")[0] in (200, 0)
+    assert process.wait(10) == 0
+    yard.start(4)
+    yard.until(lambda: yard.is_ready(4))
+
+
+def test_the_operators_client(yard: Yard, tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    doors = [part for door in yard.controls() for part in ("--door", door)]
+    good, bad, out = tmp_path / "good.json", tmp_path / "bad.json", tmp_path / "out.json"
+    good.write_bytes(configuration(20))
+    bad.write_bytes(configuration(21)[:-20])
+    assert keeper([*doors, "put", str(good)]) == 0
+    assert keeper([*doors, "put", str(bad)]) == 1 and "not JSON" in capsys.readouterr().err
+    assert keeper([*doors, "check", str(bad)]) == 1
+    assert keeper([*doors, "get", "--out", str(out)]) == 0 and out.read_bytes() == good.read_bytes()
+    assert keeper([*doors, "evacuate", "nowhere"]) == 1 and "no_such_zone" in capsys.readouterr().err
+    yard.until(lambda: keeper([*doors, "status"]) == 0)
+    assert "configuration 20" in capsys.readouterr().out
+    with pytest.raises(OrderError, match="not settled"):
+        order([f"{yard.ips[0]}:1"], "GET", "/-/configuration", patience=0.2)
+    assert os.path.exists(yard.folder / "door-1" / "comb.sqlite")
--- a/tests/test_word_property.py
+++ b/tests/test_word_property.py
@@ -11,7 +11,13 @@
 
 from .world import World
 
-QUIET = settings(max_examples=25, phases=(Phase.explicit, Phase.generate), deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
+QUIET = settings(
+    max_examples=25,
+    phases=(Phase.explicit, Phase.generate),
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
 DEEDS = st.lists(
     st.tuples(
         st.sampled_from(("put", "put", "kill", "back", "cut", "mend", "slow", "wait")), st.integers(0, 7)
