--- a/forage/gate.py
+++ b/forage/gate.py
@@ -1,4 +1,4 @@
-"""Decides on requests: who is let in, which server gets them, further tries.  Events in, actions out, as orchidhill.gateway."""
+"""Decides on requests: who is let in, which server gets them, further tries.  Events in, actions out."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/queenless/beats.py
@@ -0,0 +1,119 @@
+"""Beats and their echoes: who is there, what each holds, grants of duties; told once, then only by its sum."""
+
+from __future__ import annotations
+
+import zlib
+from typing import Any
+
+from comb.copies import NEVER, Copies
+from queenless.deeds import Message
+from swarm.duties import Duties
+from swarm.peers import About, Peer, Peers
+from waggle.news import News
+
+NEAR_BEAT = 0.4  # seconds between beats inside a region, and between core doors, whose leases live on them
+FAR_BEAT = 2.0  # between regions, where bytes are dear, while the near part of the core answers
+YOUNG = 3.0  # seconds for which a new life says in each echo who it is
+
+
+class Beats:
+    """Makes the beats of one door, answers those of others, and notes what the answers tell."""
+
+    def __init__(self, peers: Peers, copies: Copies, duties: Duties, news: News, began: float) -> None:
+        self.peers, self.copies, self.duties, self.news, self.began = peers, copies, duties, news, began
+        self.first_sent: dict[str, float] = {}  # to whom a beat went that has never answered
+
+    def state(self, now: float) -> dict[str, Any]:
+        """What others want to know of this door, and what seldom changes."""
+        told: dict[str, Any] = {"n": self.news.versions()}
+        if self.peers.me.disk:
+            told["h"] = {key: list(stamp) for key, stamp in self.copies.held().items()}
+            told["d"] = self.duties.granter.holders(now)
+        return told
+
+    @staticmethod
+    def sum_of(state: dict[str, Any]) -> int:
+        return zlib.crc32(repr(sorted((k, sorted(v.items())) for k, v in state.items())).encode())
+
+    def sent_at(self, ip: str) -> float:
+        peer = self.peers.peers.get(ip)
+        return peer.sent_at if peer is not None else self.first_sent.get(ip, -1e9)
+
+    def due(self, now: float, ip: str, enough: bool) -> bool:
+        """Whether a core door is to be asked again; `enough`: near voices tell all that is needed."""
+        about, me = self.peers.core[ip], self.peers.me
+        near = about.region == me.region or me.disk or not enough
+        return now - self.sent_at(ip) >= (NEAR_BEAT if near else FAR_BEAT) - 0.01
+
+    def beat(self, now: float, ip: str, ready: bool, wants: list[int]) -> Message:
+        """A beat to another door."""
+        peer, me = self.peers.peers.get(ip), self.peers.me
+        if peer is not None:
+            peer.sent_at = now
+        else:
+            self.first_sent[ip] = now
+        message: Message = {"k": "beat", "l": me.life, "t": now, "r": ready, "c": self.peers.core_sum()}
+        message["x"] = peer.state_sum if peer is not None else 0
+        if peer is None or not peer.knows_me:
+            message["a"] = me.row()
+        if me.disk:
+            message["w"] = wants
+            if now < self.duties.granter.silent_until:
+                message["q"] = 1
+        elif ip == next(iter(self.peers.others()), None) or not self.peers.core:
+            message["s"] = self.peers.roster_sum
+        return message
+
+    def who(self, source: str, message: Message) -> About | None:
+        """Who sent a beat or an echo, as it says or as is known."""
+        if "a" in message:
+            return About(*message["a"])
+        for about in self.peers.named(source):
+            if about.life == message["l"]:
+                return about
+        return None
+
+    def answer(self, now: float, about: About | None, message: Message, voice: bool) -> Message:
+        """The echo to a beat; the beat's sender is asked who it is where that is not known."""
+        me, state = self.peers.me, self.state(now)
+        echo: Message = {"k": "echo", "l": me.life, "t": message["t"], "v": voice}
+        if "a" in message or now - self.began < YOUNG:
+            echo["a"] = me.row()
+        if about is None:
+            echo["y"] = 1
+            return echo
+        if me.disk:
+            if "q" in message:
+                echo["p"] = self.duties.counts_on(now, (about.ip, about.life))
+            who = (about.ip, about.life)
+            granted = [duty for duty in message.get("w", ()) if self.duties.granter.ask(now, str(duty), who)]
+            if granted:
+                echo["g"] = granted
+            state = self.state(now)
+        if message["x"] != self.sum_of(state):
+            echo["z"] = state
+        if message["c"] != self.peers.core_sum():
+            echo["c"] = [member.row() for member in self.peers.core.values()]
+        if "s" in message and me.disk and message["s"] != self.peers.roster_sum:
+            echo["s"] = self.peers.roster
+        return echo
+
+    def take(self, now: float, about: About, message: Message) -> Peer:
+        """What an echo tells of its sender."""
+        peer = self.peers.peer(about)
+        peer.heard_at, peer.voice = now, message["v"]
+        peer.asked_at = max(peer.asked_at, message["t"])
+        peer.knows_me = "y" not in message
+        if not peer.knows_me:
+            return peer
+        peer.counts_on = message.get("p")
+        if (state := message.get("z")) is not None:
+            peer.state_sum = self.sum_of(state)
+            peer.news, peer.holders = state["n"], state.get("d", {})
+            for key, stamp in state.get("h", {}).items():
+                peer.stamps[key] = max((stamp[0], stamp[1]), peer.stamps.get(key, NEVER))
+        for duty in message.get("g", ()):
+            self.duties.granted(duty, about.ip, message["t"], about.life)
+        if "s" in message and message["s"] != self.peers.roster:
+            self.peers.take_roster(message["s"])
+        return peer
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -11,6 +11,7 @@
 from comb.copies import NEVER, WORD, Copies, Item, voices_needed
 from comb.word import digest, number_of
 from nectar.counter import Counter
+from queenless.beats import NEAR_BEAT, Beats
 from queenless.deeds import Changed, Danced, Deed, Lent, Mark, Message, Poll, Refused, Send
 from queenless.herald import Herald
 from queenless.orders import Copy, Order, Orders
@@ -19,8 +20,6 @@
 from swarm.rendezvous import shard
 from waggle.news import Server
 
-NEAR_BEAT = 0.4  # seconds between beats inside a region, and between core doors, whose leases live on them
-FAR_BEAT = 0.8  # between regions, where bytes are dear
 LIST = 0  # the duty of asking the platform
 SHARDS = 8  # of tenants; fixed, as two doors that differ in it would both own a tenant
 POLL = 0.5  # seconds between looks at the platform's list
@@ -58,6 +57,7 @@
         self.counter, self.limit = Counter(window), limit
         self.herald = Herald(self.peers)
         self.news = self.herald.news
+        self.beats = Beats(self.peers, self.copies, self.duties, self.news, now)
         self.ready = False
         self.draining = False
         self.polled_at, self.polling = -1e9, False
@@ -112,19 +112,15 @@
     def tick(self, now: float) -> list[Deed]:
         self.deeds = []
         self.deeds += self.copies.unsaved()
+        enough = now - self.fresh_at(now) < 2 * NEAR_BEAT
         for ip in self.peers.others():
-            about = self.peers.core[ip]
-            near = about.region == self.me.region or self.me.disk
-            if now - self.sent_at(ip) >= (NEAR_BEAT if near else FAR_BEAT) - 0.01:
+            if self.beats.due(now, ip, enough):
                 self.beat(now, ip)
         heard = any(self.peers.alive(now, ip) for ip in self.peers.others())
         if not heard or (self.first and not self.settled(now)):
             for ip in self.seeds:
-                if (
-                    ip != self.me.ip
-                    and ip not in self.peers.core
-                    and now - self.sent_at(ip) >= NEAR_BEAT - 0.01
-                ):
+                known = ip == self.me.ip or ip in self.peers.core
+                if not known and now - self.beats.sent_at(ip) >= NEAR_BEAT - 0.01:
                     self.beat(now, ip)
         self.duties_on(now)
         if self.me.disk:
@@ -136,28 +132,9 @@
         self.advance(now)
         return self.deeds
 
-    def sent_at(self, ip: str) -> float:
-        peer = self.peers.peers.get(ip)
-        return peer.sent_at if peer is not None else self.asked.get(f"beat {ip}", (-1e9, 0))[0]
-
     def beat(self, now: float, ip: str) -> None:
-        peer = self.peers.peers.get(ip)
-        if peer is not None:
-            peer.sent_at = now
-        else:
-            self.asked[f"beat {ip}"] = (now, 0)
-        nearest = next(iter(self.peers.others()), None)
-        message = {
-            "k": "beat", "a": self.me.row(), "r": self.ready and not self.draining, "t": now,
-            "c": self.peers.core_sum(),
-        }  # fmt: skip
-        if self.me.disk:
-            message["w"] = self.duties.wanted(now) if self.settled(now) else []
-            message["h"] = dict(self.copies.held())
-            message["v"] = self.voice
-        elif ip == nearest or nearest is None:
-            message["s"] = self.peers.roster_sum
-        self.deeds.append(Send(ip, message))
+        wants = self.duties.wanted(now) if self.settled(now) else []
+        self.deeds.append(Send(ip, self.beats.beat(now, ip, self.ready and not self.draining, wants)))
 
     def speak_up(self) -> None:
         """An empty disk's voice counts once it holds all that enough voices have told."""
@@ -263,7 +240,7 @@
             if units > 0:
                 self.deeds.append(Lent(tenant, number, *granted))
         else:
-            self.deeds.append(Send(holder, {"k": "lease", "n": tenant, "q": number, "u": units}))
+            self.deeds.append(Send(holder, {"k": "lease", "n": tenant, "q": number, "u": int(units)}))
         return self.deeds
 
     # --- messages -----------------------------------------------------------------------------------------
@@ -273,9 +250,9 @@
         self.deeds = []
         match message["k"]:
             case "beat":
-                self.on_beat(now, message)
+                self.on_beat(now, source, message)
             case "echo":
-                self.on_echo(now, message)
+                self.on_echo(now, source, message)
             case "keep":
                 self.on_keep(source, self.unpack(message["i"]))
             case "kept":
@@ -299,7 +276,8 @@
             case "lease":
                 self.on_lease(now, source, message)
             case "grant":
-                self.deeds.append(Lent(message["n"], message["q"], message["u"], message["l"], message["f"]))
+                left, filled = message["l"] / 1000, message["f"] / 100
+                self.deeds.append(Lent(message["n"], message["q"], message["u"], left, filled))
             case "lost":
                 self.deeds.append(Refused(message["n"]))
         self.mend(now)
@@ -307,52 +285,30 @@
         self.advance(now)
         return self.deeds
 
-    def on_beat(self, now: float, message: Message) -> None:
-        about = About(*message["a"])
-        if self.peers.stale(now, about):
+    def on_beat(self, now: float, source: str, message: Message) -> None:
+        about = self.beats.who(source, message)
+        if about is not None:
+            if self.peers.stale(now, about):
+                return
+            self.meet(now, about)
+            self.peers.note(now, about, message["r"])
+        self.deeds.append(Send(source, self.beats.answer(now, about, message, self.voice)))
+
+    def on_echo(self, now: float, source: str, message: Message) -> None:
+        about = self.beats.who(source, message)
+        if about is None:  # a new life that is not known yet
+            if (peer := self.peers.peers.get(source)) is not None:
+                peer.knows_me = False
             return
-        self.meet(now, about)
-        self.peers.note(now, about, message["r"])
-        mine = self.peers.core
-        echo: Message = {"k": "echo", "a": self.me.row(), "t": message["t"], "v": self.voice}
-        if self.me.disk:
-            echo["h"] = dict(self.copies.held())
-            echo["d"] = self.duties.granter.holders(now)
-            if about.disk:
-                echo["p"] = self.duties.counts_on(now, (about.ip, about.life))
-            echo["g"] = [
-                duty for duty in message.get("w", ())
-                if self.duties.granter.ask(now, str(duty), (about.ip, about.life))
-            ]  # fmt: skip
-        if self.news.tables:
-            echo["n"] = self.news.versions()
-        if message["c"] != self.peers.core_sum():
-            echo["c"] = [member.row() for member in mine.values()]
-        if "s" in message and self.me.disk and message["s"] != self.peers.roster_sum:
-            echo["s"] = self.peers.roster
-        self.deeds.append(Send(about.ip, echo))
-
-    def on_echo(self, now: float, message: Message) -> None:
-        about = About(*message["a"])
         if self.peers.stale(now, about) or message["t"] < self.began:
             return
         self.meet(now, about)
-        peer = self.peers.peer(about)
-        peer.heard_at, peer.voice = now, message["v"]
-        peer.asked_at = max(peer.asked_at, message["t"])
-        peer.counts_on = message.get("p")
-        for key, stamp in message.get("h", {}).items():
-            peer.stamps[key] = max((stamp[0], stamp[1]), peer.stamps.get(key, NEVER))
-        peer.news = message.get("n", {})
-        peer.holders = message.get("d", {})
-        for duty in message.get("g", ()):
-            self.duties.granted(duty, about.ip, message["t"], about.life)
+        if not self.beats.take(now, about, message).knows_me:
+            self.beat(now, source)
         for row in message.get("c", ()):
             self.meet(now, About(*row))
         if message["v"] and not self.first:
             self.told_core = True
-        if "s" in message and message["s"] != self.peers.roster:
-            self.peers.take_roster(message["s"])
 
     def meet(self, now: float, about: About) -> None:
         if self.peers.meet(now, about) and self.me.disk:
@@ -375,7 +331,14 @@
             return
         granted, left, filled = self.counter.lease(now, until, tenant, units, self.limit(tenant))
         if units > 0:
-            answer = {"k": "grant", "n": tenant, "q": message["q"], "u": granted, "l": left, "f": filled}
+            answer = {
+                "k": "grant",
+                "n": tenant,
+                "q": message["q"],
+                "u": int(granted),
+                "l": int(1000 * left),
+                "f": int(100 * filled),
+            }
             self.deeds.append(Send(source, answer))
 
     # --- copies -----------------------------------------------------------------------------------------
--- a/swarm/peers.py
+++ b/swarm/peers.py
@@ -11,7 +11,8 @@
 
 TERM = 2.0  # seconds of a grant of a duty: five beats of the core
 SILENT = 1.3  # seconds without an answer after which a door counts as away: three beats lost and a round trip
-GONE = 3.0  # seconds after which it leaves the roster
+GONE = 1.5  # seconds after which it leaves the roster, as the beats inside a region come,
+FAR_GONE = 6.0  # and as those between regions do
 
 
 @dataclass(slots=True, frozen=True)
@@ -37,6 +38,8 @@
     asked_at: float = -1e9  # when the last beat was sent that it has answered
     sent_at: float = -1e9  # when the last beat went to it
     counts_on: list[int] | None = None  # duties for which it counts on a promise of this door's last life
+    knows_me: bool = False  # it need not be told again who this door is
+    state_sum: int = 0  # of what it told of itself
     voice: bool = False
     leaving: bool = False  # it takes no duty any more
     stamps: dict[str, Stamp] = field(default_factory=dict)
@@ -130,8 +133,10 @@
 
     def make_roster(self, now: float) -> None:
         """The roster of those heard of late, in a settled order."""
-        for ip in [ip for ip, row in self.rows.items() if now - row.heard_at > GONE]:
-            del self.rows[ip]
+        for ip, row in list(self.rows.items()):
+            near = row.about.region == self.me.region or row.about.disk
+            if now - row.heard_at > (GONE if near else FAR_GONE):
+                del self.rows[ip]
         rows = [[*row.about.row(), row.ready] for _, row in sorted(self.rows.items())]
         if rows != self.roster:
             self.take_roster(rows)
@@ -140,6 +145,12 @@
         self.roster = rows
         self.roster_sum = zlib.crc32(str(rows).encode())
 
+    def named(self, ip: str) -> list[About]:
+        """What is known of who is at an address."""
+        found = [self.core.get(ip), row.about if (row := self.rows.get(ip)) else None]
+        found.append(peer.about if (peer := self.peers.get(ip)) else None)
+        return [about for about in found if about is not None]
+
     def doors(self, zone: str | None = None, region: str | None = None) -> list[str]:
         """Addresses of ready doors, of a zone or of a region where one is named."""
         return [
