--- a/forage/gate.py
+++ b/forage/gate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -123,6 +124,7 @@
         self.word: Word | None = None
         self.fresh_until = 0.0  # keyed requests are let in until then
         self.doors = 1  # that share the allowance
+        self.ends: Counter[str] = Counter()  # requests that were not served, by why
         self.settings = Told(i.Limits(8, True, True, False, True, 30.0, 0.3))
         self.now = 0.0
 
@@ -182,9 +184,9 @@
                 if verdict.granted:
                     self.dispatch(job)
                 elif verdict.over:
-                    self.end(job, Deny(job.request, verdict.retry_after))
+                    self.end(job, Deny(job.request, verdict.retry_after), "quota")
                 else:
-                    self.end(job, i.Refuse(job.request, verdict.retry_after))
+                    self.end(job, i.Refuse(job.request, verdict.retry_after), "no_counter")
 
     def asked(self, event: Asked) -> None:
         route, tenant = event.route, event.tenant
@@ -193,9 +195,9 @@
         self.jobs[job.request] = job
         self.allowance(service).request(self.now)
         if not route.open and self.now > self.fresh_until:
-            self.end(job, i.Refuse(job.request, AGAIN))  # its key may be gone
+            self.end(job, i.Refuse(job.request, AGAIN), "stale")  # its key may be gone
         elif self.pick(job)[0] is None:
-            self.end(job, i.Refuse(job.request, AGAIN))
+            self.end(job, i.Refuse(job.request, AGAIN), "no_server")
         elif tenant is not None and tenant.rate > 0:
             self.credits.take(self.now, tenant.name, tenant.rate, tenant.burst, job.request, self.doors)
         else:
@@ -244,11 +246,12 @@
         if job.out:
             return
         if job.may_have_run:
-            self.end(job, i.Fail(job.request))
+            self.end(job, i.Fail(job.request), "failed")
         else:
-            self.end(job, i.Refuse(job.request, AGAIN))
+            self.end(job, i.Refuse(job.request, AGAIN), "not_run")
 
-    def end(self, job: Job, action: object) -> None:
+    def end(self, job: Job, action: object, why: str) -> None:
+        self.ends[why] += 1
         self.actions.append(action)  # type: ignore[arg-type]
         self.jobs.pop(job.request, None)
 
--- a/hive/door.py
+++ b/hive/door.py
@@ -8,6 +8,7 @@
 import secrets
 import time
 import zlib
+from collections import Counter
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -39,6 +40,7 @@
 STALE = 0.9  # part of the time for a revocation after which keyed requests stop where nothing fresh was heard
 UNREADY = 0.5  # part of it after which clients are sent elsewhere
 OTHER_FILES = 400  # descriptors for files, calls and messages
+REPORT = 2.0  # seconds between two lines on what was not served
 LINGER = 1.5  # seconds after SIGTERM in which clients that do not know yet still come
 LAST = 0.5  # seconds before the end of the grace period at which this process ends
 
@@ -57,6 +59,8 @@
         self.token = 0
         self.replies: dict[int, Reply] = {}
         self.draining = False
+        self.reported: Counter[str] = Counter()
+        self.reported_at = 0.0
         self.platform = Platform(settings.platform)
         self.tasks: set[asyncio.Task[Any]] = set()
         most = settings.descriptors - OTHER_FILES
@@ -120,8 +124,18 @@
         self.forager.doors = max(1, len(self.core.peers.roster))
         self.carrier.post(Tick())  # type: ignore[arg-type]
         self.carry_out(self.core.dance(now, self.forager.fleet.outs()))
+        self.report(now)
         self.timer = self.loop.call_later(TICK, self.tick)
 
+    def report(self, now: float) -> None:
+        """Say what was not served of late, and why, where anything was."""
+        if now - self.reported_at < REPORT:
+            return
+        new = self.forager.ends - self.reported
+        if new:
+            log.say("forage", "did not serve", **new)
+        self.reported, self.reported_at = self.forager.ends.copy(), now
+
     def heard(self, source: str, message: dict[str, Any]) -> None:
         now = self.loop.time()
         self.carry_out(self.core.heard(now, source, message))
@@ -277,6 +291,7 @@
             "core": {ip: core.peers.alive(now, ip) for ip in sorted(core.peers.core)},
             "voice": core.voice,
             "doors": [row[0] for row in core.peers.roster if row[5]],
+            "notServed": dict(self.forager.ends),
             "freshForS": round(self.forager.fresh_until - now, 2),
             "servers": {service: len(table.servers) for service, table in core.news.tables.items()},
         }
--- a/queenless/beats.py
+++ b/queenless/beats.py
@@ -28,7 +28,7 @@
         told: dict[str, Any] = {"n": self.news.versions()}
         if self.peers.me.disk:
             told["h"] = {key: list(stamp) for key, stamp in self.copies.held().items()}
-            told["d"] = self.duties.granter.holders(now)
+            told["d"] = self.duties.told(now)
         return told
 
     @staticmethod
--- a/swarm/duties.py
+++ b/swarm/duties.py
@@ -105,6 +105,13 @@
                     says[who] = says.get(who, 0) + 1
         return max(says, key=lambda who: (says[who], who)) if says else None
 
+    def told(self, now: float) -> dict[str, str]:
+        """Whom this door names as holders: those it granted to, itself only while a majority has granted."""
+        me = self.peers.me.ip
+        return {
+            d: who for d, who in self.granter.holders(now).items() if who != me or self.until(int(d)) > now
+        }
+
     def wanted(self, now: float) -> list[int]:
         """Duties that this door does, or would do: those without a holder that is alive, if it is first in line."""
         if self.left or not self.peers.me.disk:
--- a/tests/scenarios/swarm.feature
+++ b/tests/scenarios/swarm.feature
@@ -74,3 +74,10 @@
     And a server is drained
     And 2.5 seconds pass
     Then every door knows that it is drained
+
+  Scenario: Others are not sent to a holder that the core has lost
+    Given 4 core doors and 3 others
+    And configuration 5 is everywhere
+    When the holder of a tenant's counter is cut off from the core doors alone
+    And 5 seconds pass
+    Then every door gets a lease from that tenant's counter
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -10,7 +10,9 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from comb.copies import WORD
-from queenless.core import LIST
+from queenless.core import LIST, SHARDS
+from queenless.deeds import Lent
+from swarm.rendezvous import shard
 
 from .world import Disk, World
 
@@ -21,6 +23,7 @@
     """A scenario's world and the orders given in it."""
 
     world: World
+    lost: str = ""
 
     def __init__(self) -> None:
         self.tokens: dict[int, list[int]] = {}
@@ -142,6 +145,29 @@
     cut_off(stage.world, holder)
 
 
+@when("the holder of a tenant's counter is cut off from the core doors alone")
+def counter_cut(stage: Stage) -> None:
+    holder = stage.holder(1 + shard("green", SHARDS))
+    assert holder is not None
+    for other in [name for name, door in stage.world.doors.items() if door.about.disk and name != holder]:
+        stage.world.cut |= {(holder, other), (other, holder)}
+    stage.lost = holder
+
+
+@then("every door gets a lease from that tenant's counter")
+def all_lease(stage: Stage) -> None:
+    for name in stage.world.up():
+        if name != stage.lost:
+            core: Any = stage.world.doors[name].core
+            stage.world.deeds(name, core.lease(stage.world.now, "green", 77, 1.0))
+    stage.world.run(0.2)
+    for name in stage.world.up():
+        heard = [
+            deed for deed in stage.world.doors[name].heard if isinstance(deed, Lent) and deed.number == 77
+        ]
+        assert len(heard) == (name != stage.lost), name
+
+
 @when("the links are mended")
 def mended(stage: Stage) -> None:
     stage.world.cut.clear()
