Share a reserve of each quota evenly over the doors, for when no counter answers

Cause: the doors' own lines on what was not served: after a core door's end nearly all refusals were for want of a counter, for the two seconds of a lease. Each door may let in an even, whole part of a sixth of the bound in any span by itself; windows grant the rest, so the sum stays. The count of doors outlives starts on the core's disks; unknown, it gives no reserve, and no slack of further tries. Ruled out: shorter leases, which cost beats between regions.

--- a/forage/allowance.py
+++ b/forage/allowance.py
@@ -25,9 +25,10 @@
                 times.popleft()
 
     def take(self, now: float, doors: int) -> bool:
-        """Whether one more try may go out."""
+        """Whether one more try may go out; of the slack nothing, where the doors that share it are not counted."""
         self.trim(now)
-        if len(self.again) + 1 > self.ratio * len(self.asked) + self.slack / max(1, doors):
+        slack = self.slack / doors if doors > 0 else 0.0
+        if len(self.again) + 1 > self.ratio * len(self.asked) + slack:
             return False
         self.again.append(now)
         return True
--- a/hive/door.py
+++ b/hive/door.py
@@ -93,6 +93,7 @@
                 items, marks = await self.loop.run_in_executor(self.disk, self.store.load)
                 start.kept, start.voice = items, "voice" in marks
                 start.core = json.loads(marks.get("core", b"[]"))
+                start.doors = int(marks.get("doors", b"0"))
                 for what in self.store.aside:
                     log.say("comb", "put aside what could not be read", what=what)
             except (StoreError, ValueError) as error:
@@ -112,7 +113,7 @@
         found = self.word.tenants.get(tenant) if self.word is not None else None
         if found is None or found.rate <= 0:
             return 0.0
-        return self.settings.rule.quota.limit(found.rate, found.burst)
+        return self.settings.rule.quota.limit(found.rate, found.burst, self.core.peers.most_doors)
 
     # --- time and messages ----------------------------------------------------------------------------------
 
@@ -121,7 +122,7 @@
         self.core.ready = self.ready()
         self.carry_out(self.core.tick(now))
         self.freshen(now)
-        self.forager.doors = max(1, len(self.core.peers.roster))
+        self.forager.doors = self.core.peers.most_doors
         self.carrier.post(Tick())  # type: ignore[arg-type]
         self.carry_out(self.core.dance(now, self.forager.fleet.outs()))
         self.report(now)
--- a/nectar/bounds.py
+++ b/nectar/bounds.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 
 WINDOWS = 5  # in a span of the rule: shorter ones refuse bursts, longer ones let an edge double them
-LATE = 0.9  # part of the bound that is granted: the rest covers what arrives later than it was admitted
+LATE = 0.92  # part of the bound that is given out: the rest covers what arrives later than it was admitted
+RESERVE = 0.16  # part of the bound that doors share evenly, for when no counter answers; whole requests each
 
 
 @dataclass(slots=True, frozen=True)
@@ -20,7 +21,14 @@
     def window(self) -> float:
         return self.span / WINDOWS
 
-    def limit(self, rate: float, burst: float) -> float:
+    def bound(self, rate: float, burst: float) -> float:
+        return (rate * self.span + burst) * (1 + self.overage) + self.slack
+
+    def reserve(self, rate: float, burst: float, doors: int) -> int:
+        """Requests that each of so many doors may let in by itself in any span; none where doors are not counted."""
+        return int(RESERVE * self.bound(rate, burst) / doors) if doors > 0 else 0
+
+    def limit(self, rate: float, burst: float, doors: int) -> float:
         """Requests that a window may grant.  A span touches one window more than fit into it."""
-        bound = (rate * self.span + burst) * (1 + self.overage) + self.slack
-        return float(int(LATE * bound / (WINDOWS + 1)))
+        shared = doors * self.reserve(rate, burst, doors)
+        return float(int((LATE * self.bound(rate, burst) - shared) / (WINDOWS + 1)))
--- a/nectar/credits.py
+++ b/nectar/credits.py
@@ -39,6 +39,8 @@
     tries: int = 0
     touched: float = 0.0
     waiters: deque[int] = field(default_factory=deque)
+    reserve: int = 0  # requests that may be let in without a credit in any span
+    alone: deque[float] = field(default_factory=deque)  # when they were
 
 
 @dataclass(slots=True, frozen=True)
@@ -70,11 +72,12 @@
 
     def take(self, now: float, tenant: str, rate: float, burst: float, request: int, doors: int) -> None:
         """A request asks for one credit; its verdict is put down now or once the lease in flight has ended."""
-        lease = self.lease(now, tenant, self.rule.limit(rate, burst), doors)
+        lease = self.lease(now, tenant, self.rule.limit(rate, burst, doors), doors)
+        lease.reserve = self.rule.reserve(rate, burst, doors)
         if lease.credits >= 1 and not lease.waiters:
             self.spend(lease, request)
         elif now < lease.denied_until:
-            self.verdicts.append(Verdict(request, False, lease.denied_until - now, over=True))
+            self.turn_away(now, lease, request, lease.denied_until - now, over=True)
         else:
             lease.waiters.append(request)
             if not lease.call:
@@ -133,7 +136,17 @@
 
     def refuse(self, now: float, lease: Lease, retry_after: float, over: bool) -> None:
         while lease.waiters:
-            self.verdicts.append(Verdict(lease.waiters.popleft(), False, retry_after, over))
+            self.turn_away(now, lease, lease.waiters.popleft(), retry_after, over)
+
+    def turn_away(self, now: float, lease: Lease, request: int, retry_after: float, over: bool) -> None:
+        """Refuse a request, unless the door's own reserve of the tenant's quota has room for it."""
+        while lease.alone and lease.alone[0] <= now - self.rule.span:
+            lease.alone.popleft()
+        if len(lease.alone) < lease.reserve:
+            lease.alone.append(now)
+            self.verdicts.append(Verdict(request, True))
+        else:
+            self.verdicts.append(Verdict(request, False, retry_after, over))
 
     def tick(self, now: float) -> None:
         """Calls that stay without an answer are made again, then given up; idle credit goes back."""
--- a/queenless/beats.py
+++ b/queenless/beats.py
@@ -25,7 +25,7 @@
 
     def state(self, now: float) -> dict[str, Any]:
         """What others want to know of this door, and what seldom changes."""
-        told: dict[str, Any] = {"n": self.news.versions()}
+        told: dict[str, Any] = {"n": self.news.versions(), "m": {"doors": self.peers.most_doors}}
         if self.peers.me.disk:
             told["h"] = {key: list(stamp) for key, stamp in self.copies.held().items()}
             told["d"] = self.duties.told(now)
@@ -109,6 +109,7 @@
         peer.counts_on = message.get("p")
         if (state := message.get("z")) is not None:
             peer.state_sum = self.sum_of(state)
+            self.peers.most_doors = max(self.peers.most_doors, state["m"]["doors"])
             peer.news, peer.holders = state["n"], state.get("d", {})
             for key, stamp in state.get("h", {}).items():
                 peer.stamps[key] = max((stamp[0], stamp[1]), peer.stamps.get(key, NEVER))
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -38,6 +38,7 @@
     kept: list[Item] = field(default_factory=list)
     voice: bool = False  # a mark on disk says so
     core: list[list[Any]] = field(default_factory=list)  # as a mark on disk says
+    doors: int = 0  # the most there were, as a mark on disk says
 
 
 class Core:
@@ -52,6 +53,7 @@
         self.told_core = bool(start.core)  # who the core is was on disk, or a voice of it has told
         for row in start.core:
             self.peers.meet(now - QUIET, About(*row))
+        self.peers.most_doors = self.marked_doors = start.doors
         self.orders = Orders(self.peers, self.copies, start.about.life)
         self.duties = Duties(self.peers, now, start.first, SHARDS + 1)
         self.counter, self.limit = Counter(window), limit
@@ -143,6 +145,9 @@
         if not self.voice and len(self.peers.core) > 1:
             needed = voices_needed(len(self.peers.core))
             self.voice = self.peers.told(self.began, self.copies.kept) >= needed
+        if self.peers.most_doors > self.marked_doors:
+            self.marked_doors = self.peers.most_doors
+            self.deeds.append(Mark("doors", str(self.marked_doors).encode()))
         if self.voice and not self.marked:
             self.marked = True
             self.deeds.append(Mark("voice", b"1"))
--- a/swarm/peers.py
+++ b/swarm/peers.py
@@ -65,6 +65,9 @@
         self.rows: dict[str, Row] = {}  # a core door's own roster, from the beats it gets
         self.roster: list[list[Any]] = []  # as last heard or made: about, ready
         self.roster_sum = 0
+        self.most_doors = (
+            0  # ever in a roster, here or at a door that told: what doors share evenly goes by it
+        )
 
     def peer(self, about: About) -> Peer:
         found = self.peers.get(about.ip)
@@ -143,6 +146,7 @@
 
     def take_roster(self, rows: list[list[Any]]) -> None:
         self.roster = rows
+        self.most_doors = max(self.most_doors, len(rows))
         self.roster_sum = zlib.crc32(str(rows).encode())
 
     def named(self, ip: str) -> list[About]:
--- a/tests/test_forage.py
+++ b/tests/test_forage.py
@@ -67,6 +67,7 @@
         self.forager.take_word(WORD)
         self.forager.listed(self.now, "shop", servers(*names))
         self.forager.fresh_until = 1e9
+        self.forager.doors = 31  # whose shares of a small quota's reserve are none, and of further tries one
 
     def ask(self, path: str, tenant: str = "free", left: float = 4.0) -> list[Any]:
         self.number += 1
@@ -154,9 +155,9 @@
     (lease,) = gate.ask("/r/1", "green")
     assert isinstance(lease, Lease)
     assert gate.ask("/r/1", "green") == []  # one lease in flight: others wait for it
-    granted = Granted("green", lease.call.number, 1.0, 0.6, 1.0)
-    send, deny = gate.handle(granted)
-    assert isinstance(send, i.Send) and isinstance(deny, Deny) and 0.5 < deny.retry_after <= 0.6
+    denied = gate.handle(Granted("green", lease.call.number, 0.0, 0.6, 1.0))
+    assert [type(action) for action in denied] == [Deny, Deny] and 0.5 < denied[0].retry_after <= 0.6
+    assert isinstance(gate.ask("/r/1", "green")[0], Deny)
     gate.now += 0.7
     (lease,) = gate.ask("/r/1", "green")
     (refused,) = gate.handle(Lapsed("green"))
@@ -170,6 +171,18 @@
     assert ended  # a counter that does not answer is given up on
 
 
+def test_a_door_lets_its_even_share_in_alone_where_no_counter_answers() -> None:
+    gate = Gate("a1-0")
+    gate.forager.doors = 5
+    sent = 0
+    for _ in range(100):  # ten seconds
+        gate.now += 0.1
+        for action in gate.ask("/r/1", "green"):
+            if isinstance(action, Lease):
+                sent += sum(isinstance(a, i.Send) for a in gate.handle(Lapsed("green")))
+    assert sent == 2 * gate.forager.rule.quota.reserve(10, 10, 5) > 0  # in each span of five
+
+
 def test_no_span_sees_more_than_the_rule_whatever_doors_and_owners_do() -> None:
     """Eleven doors ask as fast as they can, calls are lost, and the counter moves to a new owner twice."""
     rule, rate, burst, dice = QuotaRule(), 10.0, 10.0, random.Random(5)
@@ -193,7 +206,7 @@
         due, flying = [f for f in flying if f[0] <= now], [f for f in flying if f[0] > now]
         for _, door, call in due:
             if owner and dice.random() > 0.1:
-                granted = counter.lease(now, until, "green", call.units, rule.limit(rate, burst))
+                granted = counter.lease(now, until, "green", call.units, rule.limit(rate, burst, 11))
                 door.granted(now, "green", call.number, *granted)
     most = max(
         sum(start <= t < start + rule.span for t in served) for start in [50 + n * 0.1 for n in range(250)]
--- a/tests/world.py
+++ b/tests/world.py
@@ -101,6 +101,7 @@
         if door.disk is not None:
             start.kept, start.voice = list(door.disk.items.values()), "voice" in door.disk.marks
             start.core = json.loads(door.disk.marks.get("core", b"[]"))
+            start.doors = int(door.disk.marks.get("doors", b"0"))
         rule = QuotaRule()
         door.core = core = Core(self.now, start, rule.window, lambda tenant: 30.0)
         core.ready, door.seen = True, {key: item.stamp for key, item in core.copies.seen.items()}
