--- a/apiary/stands.py
+++ b/apiary/stands.py
@@ -52,7 +52,7 @@
     work: float = 0.01
     cut: bool = False  # it runs a request and its answer is lost
     ran: Counter[str] = field(default_factory=Counter)
-    tenants: set[str] = field(default_factory=set)
+    last: Headers = field(default_factory=dict)  # of the request that it ran last
     busy: int = 0
 
     async def handle(
@@ -66,7 +66,7 @@
         if not attempt:
             return 400, {"X-Hazelspring-Not-Executed": "1"}, b""
         self.ran[attempt] += 1
-        self.tenants.add(headers.get("x-hazelspring-tenant-name", ""))
+        self.last = {**headers, "": f"{method} {path} {body.decode(errors='replace')}"}
         self.busy += 1
         await asyncio.sleep(self.work)
         self.busy -= 1
--- a/hive/front.py
+++ b/hive/front.py
@@ -175,8 +175,10 @@
             return
         exchange.held = len(body)
         front.held += len(body)
-        named = dict(self.headers).get(b"connection", b"").lower().split(b",")
-        one = {name.strip() for name in named}
+        one = set[bytes]()  # headers that concern this connection alone
+        for name, value in self.headers:
+            if name == b"connection":
+                one.update(part.strip() for part in value.lower().split(b","))
         head = b"%s %s HTTP/1.1\r\n" % (method, self.url) + b"".join(
             b"%s: %s\r\n" % pair for pair in self.headers if pair[0] not in OURS and pair[0] not in one
         )
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import socket
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -88,7 +89,36 @@
         server.cut = False
     assert found == 502
     assert sum(server.ran["lost-1"] for server in yard.servers) == 1
-    assert all(server.tenants <= {"green"} for server in yard.servers)
+
+
+def raw(yard: Yard, n: int, *lines: str) -> int:
+    """The status that a request of these lines gets."""
+    with socket.create_connection((yard.ips[n], yard.front), 5) as wire:
+        wire.sendall("\r\n".join((*lines, "Connection: close", "", "")).encode())
+        return int(wire.makefile("rb").readline().split()[1])
+
+
+def test_what_goes_on_to_a_server_and_what_does_not(yard: Yard) -> None:
+    good = ("Host: shop.example:80", "X-Hazelspring-Attempt-Id: raw-1", f"Authorization: Bearer {KEY}")
+    forged = (
+        "X-Hazelspring-Tenant-Name: other",
+        "X-Hazelspring-Expected-Instance: i-0",
+        "X-Mine: kept",
+        "Connection: x-hop",
+        "X-Hop: 1",
+    )
+    assert raw(yard, 0, "GET /read/a/../b?q=%20 HTTP/1.1", *good, *forged) == 200
+    (seen,) = [
+        server.last for server in yard.servers if server.last.get("x-hazelspring-attempt-id") == "raw-1"
+    ]
+    assert seen[""] == "GET /read/a/../b?q=%20 " and seen["x-hazelspring-tenant-name"] == "green"
+    assert seen["x-mine"] == "kept" and not {"authorization", "x-hop", "connection"} & set(seen)
+    assert raw(yard, 0, "GET /read/a HTTP/1.1", *good, good[1]) == 400  # a header that counts stands twice
+    assert raw(yard, 0, "GET /none/a HTTP/1.1", *good) == 404
+    assert raw(yard, 0, "GET /read/a HTTP/1.1", *good[:2], "Authorization: Bearer wrong") == 401
+    assert raw(yard, 0, "GET /read/a HTTP/1.1", good[0], good[2]) == 400  # no attempt id
+    assert raw(yard, 0, "GET /read/a HTTP/1.1", *good, "X-Hazelspring-Remaining-Milliseconds: soon") == 400
+    assert raw(yard, 0, "GET /read/a HTTP/1.1", *good, "X-Big: " + "x" * 20_000) == 431
 
 
 def test_a_door_leaves_in_order_and_answers_what_it_holds(yard: Yard) -> None:
