Read changed settings with and without a signal; share a server's connections over the doors

Need: the protocol lets the settings file change silently or with SIGHUP, and a server takes connectionLimit connections from all callers together. A look a second; what cannot be used changes nothing. Each door keeps an even part of the connections, four at least.

--- a/hive/__main__.py
+++ b/hive/__main__.py
@@ -8,7 +8,7 @@
 import os
 import signal
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import uvloop
 
@@ -16,15 +16,49 @@
 from hive.door import Door
 from hive.settings import Settings, SettingsError, load
 
+LOOK = 1.0  # seconds between looks whether the settings file has changed: what it may change is needed seldom
 
-async def serve(settings: Settings) -> None:
+
+class Watched:
+    """The settings file, which may change with a SIGHUP or without a word."""
+
+    def __init__(self, path: str, take: Callable[[Settings], None]) -> None:
+        self.path, self.take = path, take
+        self.seen = self.stamp()
+
+    def stamp(self) -> tuple[int, int]:
+        try:
+            found = os.stat(self.path)
+            return found.st_mtime_ns, found.st_size
+        except OSError:
+            return 0, 0
+
+    def look(self, asked: bool = False) -> None:
+        """Read it where it was changed; what cannot be used is said, and changes nothing."""
+        stamp = self.stamp()
+        if stamp == self.seen and not asked:
+            return
+        self.seen = stamp
+        try:
+            self.take(load(self.path))
+        except SettingsError as error:
+            log.log.say("hive", "new settings cannot be used", problem=error)
+
+    def keep_looking(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.look()
+        loop.call_later(LOOK, self.keep_looking, loop)
+
+
+async def serve(settings: Settings, path: str) -> None:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: log.log.say("hive", "settings are read at the next start"))
     door = Door(settings)
+    watched = Watched(path, door.reload)
+    loop.add_signal_handler(signal.SIGHUP, watched.look, True)
     await door.start()
+    watched.keep_looking(loop)
     gc.collect()
     gc.freeze()  # what lives as long as the process need not be looked at again
     await stop.wait()
@@ -50,7 +84,7 @@
         print(f"{chosen.settings}: can be used by {settings.name}")
         return 0
     log.start()
-    uvloop.run(serve(settings))
+    uvloop.run(serve(settings, chosen.settings))
     return 0
 
 
--- a/hive/door.py
+++ b/hive/door.py
@@ -27,6 +27,7 @@
 from hive.settings import Address, Settings
 from ivymux.config import Address as Place
 from ivymux.metrics import Counts
+from ivymux.pool import PER_BACKEND
 from nectar.credits import Call
 from queenless.core import Core, Start
 from queenless.deeds import Changed, Danced, Deed, Lent, Mark, Poll, Refused, Send
@@ -34,6 +35,7 @@
 from swarm.peers import About
 from waggle.news import parse
 
+LEAST_CONNECTIONS = 4  # to one server, however many doors share it
 TICK = 0.05  # seconds: an eighth of a beat, and well under the time for a lease's call
 CONNECT = 0.3  # seconds for a connection to a server: a lost opening packet comes again only after a second
 IDLE = 9.0  # seconds that servers keep idle connections at least, where they do not say
@@ -123,11 +125,28 @@
         self.carry_out(self.core.tick(now))
         self.freshen(now)
         self.forager.doors = self.core.peers.most_doors
+        self.servers.per_backend = self.connections()
         self.carrier.post(Tick())  # type: ignore[arg-type]
         self.carry_out(self.core.dance(now, self.forager.fleet.outs()))
         self.report(now)
         self.timer = self.loop.call_later(TICK, self.tick)
 
+    def connections(self) -> int:
+        """Connections to one server that are this door's: an even part of what the server takes from all."""
+        limits = [s.connections for s in self.word.services.values() if s.connections] if self.word else []
+        return max(LEAST_CONNECTIONS, min(limits, default=PER_BACKEND) // max(1, self.forager.doors))
+
+    def reload(self, settings: Settings) -> None:
+        """New settings: seeds, the platform, the times for revocations and the end.  All else stays until the next start."""
+        if settings == self.settings:
+            return
+        old, self.settings = self.settings, settings
+        self.core.seeds = list(settings.seeds)
+        if settings.platform != old.platform:
+            self.platform.close()
+            self.platform = Platform(settings.platform)
+        log.say("hive", "uses new settings", seeds=",".join(settings.seeds))
+
     def report(self, now: float) -> None:
         """Say what was not served of late, and why, where anything was."""
         if now - self.reported_at < REPORT:
--- a/ivymux/pool.py
+++ b/ivymux/pool.py
@@ -22,6 +22,7 @@
 
     open: int
     most_open: int
+    per_backend: int
     connect_timeout: float
     tasks: set[asyncio.Task[None]]
 
@@ -51,7 +52,7 @@
                 link.carry(attempt)
                 return
             self.owner.counts.stale += 1
-        if self.connecting + len(self.links) >= PER_BACKEND or not self.owner.make_room():
+        if self.connecting + len(self.links) >= self.owner.per_backend or not self.owner.make_room():
             # Nothing was sent.  Not a failed connection: the backend is not to blame.
             self.owner.loop.call_soon(attempt.fail, Outcome.FULL)
             return
--- a/ivymux/upstream.py
+++ b/ivymux/upstream.py
@@ -9,7 +9,7 @@
 from ivymux.config import Address
 from ivymux.link import Attempt, Link, Result
 from ivymux.metrics import Counts
-from ivymux.pool import Pool
+from ivymux.pool import PER_BACKEND, Pool
 from orchidhill.interface import Outcome
 
 STALLED = 20.0  # seconds without a byte, or without room for one, that end a body on its way
@@ -31,6 +31,7 @@
         counts: Counts,
     ) -> None:
         self.most_open, self.counts = most_open, counts
+        self.per_backend = PER_BACKEND
         self.retune(connect_timeout, conn_idle, columns)
         self.loop = asyncio.get_running_loop()
         self.pools: dict[int, Pool] = {}
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -131,6 +131,19 @@
     yard.until(lambda: yard.is_ready(4))
 
 
+def test_settings_are_read_again_with_and_without_a_signal(yard: Yard) -> None:
+    log, path = yard.folder / "door-6.log", yard.folder / "door-6.conf"
+    text = path.read_text()
+    seeds = f"network.seedNodes={yard.controls()[3]}"
+    path.write_text(text + seeds + "\n")
+    yard.until(lambda: f"uses new settings seeds={yard.ips[3]}" in log.read_text())
+    path.write_text(text.replace("thisDoor.zone=", "thisDoor.zoned="))
+    yard.processes[5].send_signal(signal.SIGHUP)
+    yard.until(lambda: "cannot be used problem=thisDoor.zone" in log.read_text())
+    path.write_text(text)
+    assert yard.ask(5, "GET", "/read/a", "after-settings")[0] == 200
+
+
 def test_the_operators_client(yard: Yard, tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     doors = [part for door in yard.controls() for part in ("--door", door)]
     good, bad, out = tmp_path / "good.json", tmp_path / "bad.json", tmp_path / "out.json"
