--- a/hive/door.py
+++ b/hive/door.py
@@ -137,7 +137,7 @@
         return max(LEAST_CONNECTIONS, min(limits, default=PER_BACKEND) // max(1, self.forager.doors))
 
     def reload(self, settings: Settings) -> None:
-        """New settings: seeds, the platform, the times for revocations and the end.  All else stays until the next start."""
+        """New settings: seeds, the platform, times for revocations and the end; all else waits for the next start."""
         if settings == self.settings:
             return
         old, self.settings = self.settings, settings
