Look for repeated headers in one place for both programs

Cause: a look for repeated code found the front door's check for headers that stand twice again in the system's. It is a method of the shared client now, with the names that count as argument. Front door, bodies, cost and process tests pass.

--- a/hive/front.py
+++ b/hive/front.py
@@ -126,7 +126,7 @@
             raise BadRequest("malformed target") from None
         headers = dict(self.headers)
         if len(headers) != len(self.headers):
-            self.no_repeats()
+            self.no_repeats(SINGLE)
         word = front.word
         if word is None:
             exchange.reply(Final(503, retry_after=UNKNOWN))
@@ -202,13 +202,6 @@
 
         exchange.request = front.host.request(make, route.kind, timeout, payload, exchange, upload, id_)
 
-    def no_repeats(self) -> None:
-        seen = set()
-        for name, _ in self.headers:
-            if name in seen and name in SINGLE:
-                raise BadRequest("a header stands twice")
-            seen.add(name)
-
 
 class Front(Listener):
     """The door's address for clients."""
--- a/ivymux/caller.py
+++ b/ivymux/caller.py
@@ -370,6 +370,14 @@
             if exchange.answer is None:
                 exchange.reply(Answer(502))
 
+    def no_repeats(self, single: frozenset[bytes]) -> None:
+        """A header that counts and stands twice could be read differently here and at a backend."""
+        seen = set()
+        for name, _ in self.headers:
+            if name in seen and name in single:
+                raise BadRequest("a header stands twice")
+            seen.add(name)
+
     def take(self, exchange: Exchange) -> None:
         """Answer a request, or bring about its answer."""
         raise NotImplementedError
--- a/ivymux/server.py
+++ b/ivymux/server.py
@@ -73,7 +73,7 @@
             return
         headers = dict(self.headers)
         if len(headers) != len(self.headers):
-            self.no_repeats()
+            self.no_repeats(SINGLE)
         effect = Effect.SAFE if method == b"GET" else Effect.UNSAFE
         if method == b"POST" and headers.get(b"idempotency-key"):
             effect = Effect.KEYED
@@ -131,14 +131,6 @@
 
         exchange.request = server.host.request(make, cls.name, timeout, payload, exchange, upload)
 
-    def no_repeats(self) -> None:
-        """A header that counts and stands twice could be read differently here and at a backend."""
-        seen = set()
-        for name, _ in self.headers:
-            if name in seen and name in SINGLE:
-                raise BadRequest("a header stands twice")
-            seen.add(name)
-
 
 class Server(Listener):
     """The front door's listener, and the terms on which requests are taken."""
