--- a/forage/gate.py
+++ b/forage/gate.py
@@ -132,6 +132,11 @@
 
     def take_word(self, word: Word) -> None:
         self.word = word
+        names = {route.name for routes in word.routes.values() for route in routes}
+        for name in self.fleet.usual.keys() - names:
+            del self.fleet.usual[name]
+        for service in self.allowances.keys() - word.services.keys():
+            del self.allowances[service]
 
     def cold_times(self) -> dict[str, float]:
         services = self.word.services if self.word is not None else {}
