--- a/queenless/orders.py
+++ b/queenless/orders.py
@@ -62,7 +62,9 @@
             if order.target is None and settled and self.voices(order.began, voice) >= voices_needed(core):
                 self.aim(order, key)
                 if order.wanted is None and not order.zone:
-                    actions.append(self.end(order, Done(order.token, True, item=self.copies.seen.get(key))))
+                    found = self.copies.seen.get(key)
+                    why = "" if found is not None else "look: no configuration was ever acknowledged"
+                    actions.append(self.end(order, Done(order.token, found is not None, why, item=found)))
                     continue
             if order.target is not None and self.copied(order) >= copies_needed(core):
                 actions.append(self.end(order, Done(order.token, True, target=order.target)))
--- a/tests/scenarios/word.feature
+++ b/tests/scenarios/word.feature
@@ -100,3 +100,7 @@
     When the operator opens zone z1 at door 2
     And 1.5 seconds pass
     Then no zone is closed at any door
+
+  Scenario: Where nothing was ever sent, nothing is read
+    Given 4 core doors and 1 others
+    Then reading at door 5 gives nothing
