Scenario: a spare door with a disk joins, catches up and is one of a majority

The scenario joins a fifth, kills two of the first four and has a change acknowledged. Nothing in the program changed; it passed at once.

--- a/tests/scenarios/swarm.feature
+++ b/tests/scenarios/swarm.feature
@@ -81,3 +81,18 @@
     When the holder of a tenant's counter is cut off from the core doors alone
     And 5 seconds pass
     Then every door gets a lease from that tenant's counter, whenever it asks
+
+  Scenario: A spare door with a disk joins, catches up and counts
+    Given 4 core doors and 3 others
+    And configuration 5 is everywhere
+    When a spare door with a disk joins as door 9
+    And 2 seconds pass
+    Then door 9 has its voice
+    And every door uses configuration 5
+    When door 1 is killed
+    And door 2 is killed
+    And 1 second passes
+    And the operator sends configuration 6 to door 9
+    And 2 seconds pass
+    Then configuration 6 is acknowledged
+    And every door uses configuration 6
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -12,9 +12,10 @@
 from comb.copies import WORD
 from queenless.core import LIST, SHARDS
 from queenless.deeds import Lent
+from swarm.peers import About
 from swarm.rendezvous import shard
 
-from .world import Disk, World
+from .world import Disk, Door, World
 
 scenarios("scenarios")
 
@@ -173,6 +174,13 @@
             assert len(heard) == 1, name
 
 
+@when(parsers.parse("a spare door with a disk joins as door {door:d}"))
+def spare(stage: Stage, door: int) -> None:
+    name = f"d{door}"
+    stage.world.doors[name] = Door(About(name, "z1", "east", True, 0), Disk())
+    stage.world.start(name)
+
+
 @when("the links are mended")
 def mended(stage: Stage) -> None:
     stage.world.cut.clear()
