Give each answer of a counter one type, from the core to the credits

Cause: Lent and Refused of the core were Granted and Lapsed of the forager field by field, and the door copied one into the other. nectar owns both now; the core makes them, the door posts them as they are. Same behaviour: scenarios and request tests pass with their assertions.

--- a/forage/gate.py
+++ b/forage/gate.py
@@ -11,7 +11,7 @@
 from forage.allowance import Allowance
 from forage.fleet import Fleet, Server
 from nectar.bounds import QuotaRule
-from nectar.credits import Call, Credits
+from nectar.credits import Call, Credits, Granted, Lapsed
 from orchidhill import interface as i
 from orchidhill.interface import Outcome
 from waggle.news import Server as Listed
@@ -45,24 +45,6 @@
     streams: bool
 
 
-@dataclass(slots=True)
-class Granted:
-    """The counter's answer to a `Lease`."""
-
-    tenant: str
-    number: int
-    units: float
-    left: float
-    filled: float
-
-
-@dataclass(slots=True)
-class Lapsed:
-    """There is no counter for this tenant for now."""
-
-    tenant: str
-
-
 @dataclass(slots=True)
 class Tick:
     """Time has passed."""
@@ -163,7 +145,7 @@
             case i.Left():
                 self.jobs.pop(event.request, None)
             case Granted():
-                self.credits.granted(now, event.tenant, event.number, event.units, event.left, event.filled)
+                self.credits.granted(now, event)
             case Lapsed():
                 self.credits.lapsed(now, event.tenant)
             case Tick():
--- a/hive/door.py
+++ b/hive/door.py
@@ -17,7 +17,7 @@
 from comb.store import Store, StoreError
 from comb.word import Word, read
 from forage.fleet import Fleet
-from forage.gate import Forager, Granted, Lapsed, Tick
+from forage.gate import Forager, Tick
 from hive.desk import Desk
 from hive.front import Carrier, Front
 from hive.log import log
@@ -28,9 +28,9 @@
 from ivymux.config import Address as Place
 from ivymux.metrics import Counts
 from ivymux.pool import PER_BACKEND
-from nectar.credits import Call
+from nectar.credits import Call, Granted, Lapsed
 from queenless.core import Core, Start
-from queenless.deeds import Changed, Danced, Deed, Lent, Mark, Poll, Refused, Send
+from queenless.deeds import Changed, Danced, Deed, Mark, Poll, Send
 from queenless.orders import Done
 from swarm.peers import About
 from waggle.news import parse
@@ -186,11 +186,8 @@
                     self.changed(deed.what)
                 case Poll():
                     self.task(self.poll())
-                case Lent():
-                    granted = Granted(deed.tenant, deed.number, deed.units, deed.left, deed.filled)
-                    self.carrier.post(granted)  # type: ignore[arg-type]
-                case Refused():
-                    self.carrier.post(Lapsed(deed.tenant))  # type: ignore[arg-type]
+                case Granted() | Lapsed():
+                    self.carrier.post(deed)  # type: ignore[arg-type]
                 case Done():
                     self.done(deed)
                 case Danced():
--- a/nectar/credits.py
+++ b/nectar/credits.py
@@ -52,6 +52,24 @@
     units: float
 
 
+@dataclass(slots=True, frozen=True)
+class Granted:
+    """The counter's answer to a call: units, for how many seconds, and the part of the window's limit that is out."""
+
+    tenant: str
+    number: int
+    units: float
+    left: float
+    filled: float
+
+
+@dataclass(slots=True, frozen=True)
+class Lapsed:
+    """There is no counter for this tenant for now."""
+
+    tenant: str
+
+
 @dataclass(slots=True, frozen=True)
 class Verdict:
     """What becomes of a request that asked: let in, or refused with a time to come back."""
@@ -115,17 +133,17 @@
         lease.asked_at = now
         self.calls.append(Call(lease.tenant, lease.call, lease.asked))
 
-    def granted(self, now: float, tenant: str, number: int, units: float, left: float, filled: float) -> None:
+    def granted(self, now: float, answer: Granted) -> None:
         """The counter's answer.  What it grants is counted from when it was asked, so it dies early, never late."""
-        lease = self.leases.get(tenant)
-        if lease is None or lease.call != number:
+        lease = self.leases.get(answer.tenant)
+        if lease is None or lease.call != answer.number:
             return  # given up meanwhile: stranded until its edge
         self.roll(now, lease)
-        lease.call, lease.filled = 0, filled
-        edge = lease.asked_at + left
+        lease.call, lease.filled = 0, answer.filled
+        edge = lease.asked_at + answer.left
         if now < edge:
-            lease.credits, lease.until = lease.credits + units, edge
-        denied = units + 1e-9 < lease.asked
+            lease.credits, lease.until = lease.credits + answer.units, edge
+        denied = answer.units + 1e-9 < lease.asked
         while lease.waiters and lease.credits >= 1:
             self.spend(lease, lease.waiters.popleft())
         if denied and now < edge:
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -11,8 +11,9 @@
 from comb.copies import NEVER, WORD, Copies, Item, voices_needed
 from comb.word import digest, number_of
 from nectar.counter import Counter
+from nectar.credits import Granted, Lapsed
 from queenless.beats import NEAR_BEAT, Beats
-from queenless.deeds import Changed, Danced, Deed, Lent, Mark, Message, Poll, Refused, Send
+from queenless.deeds import Changed, Danced, Deed, Mark, Message, Poll, Send
 from queenless.herald import Herald
 from queenless.orders import Copy, Order, Orders
 from swarm.duties import Duties
@@ -239,11 +240,11 @@
         duty = 1 + shard(tenant, SHARDS)
         holder = self.duties.holder(now, duty)
         if holder is None:
-            self.deeds.append(Refused(tenant))
+            self.deeds.append(Lapsed(tenant))
         elif holder == self.me.ip:
             granted = self.counter.lease(now, self.duties.until(duty), tenant, units, self.limit(tenant))
             if units > 0:
-                self.deeds.append(Lent(tenant, number, *granted))
+                self.deeds.append(Granted(tenant, number, *granted))
         else:
             self.deeds.append(Send(holder, {"k": "lease", "n": tenant, "q": number, "u": int(units)}))
         return self.deeds
@@ -282,9 +283,9 @@
                 self.on_lease(now, source, message)
             case "grant":
                 left, filled = message["l"] / 1000, message["f"] / 100
-                self.deeds.append(Lent(message["n"], message["q"], message["u"], left, filled))
+                self.deeds.append(Granted(message["n"], message["q"], message["u"], left, filled))
             case "lost":
-                self.deeds.append(Refused(message["n"]))
+                self.deeds.append(Lapsed(message["n"]))
         self.mend(now)
         self.speak_up()
         self.advance(now)
--- a/queenless/deeds.py
+++ b/queenless/deeds.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from comb.copies import Save
+from nectar.credits import Granted, Lapsed
 from queenless.orders import Done
 
 Message = dict[str, Any]
@@ -37,17 +38,6 @@
     what: str
 
 
-@dataclass(slots=True, frozen=True)
-class Lent:
-    """The counter's answer to a lease of this door."""
-
-    tenant: str
-    number: int
-    units: float
-    left: float
-    filled: float
-
-
 @dataclass(slots=True, frozen=True)
 class Danced:
     """Another door has told where its requests are."""
@@ -56,11 +46,4 @@
     outs: dict[str, int]
 
 
-@dataclass(slots=True, frozen=True)
-class Refused:
-    """No counter answers for the tenant."""
-
-    tenant: str
-
-
-Deed = Send | Save | Mark | Poll | Done | Changed | Lent | Refused | Danced
+Deed = Send | Save | Mark | Poll | Done | Changed | Granted | Lapsed | Danced
--- a/tests/test_forage.py
+++ b/tests/test_forage.py
@@ -11,10 +11,10 @@
 from comb.check import Invalid, check
 from comb.word import read
 from forage.fleet import Fleet
-from forage.gate import Asked, Deny, Forager, Granted, Lapsed, Lease, Rule, Tick
+from forage.gate import Asked, Deny, Forager, Lease, Rule, Tick
 from nectar.bounds import QuotaRule
 from nectar.counter import Counter
-from nectar.credits import Call, Credits
+from nectar.credits import Call, Credits, Granted, Lapsed
 from orchidhill import interface as i
 from orchidhill.interface import Outcome
 from waggle.news import Server, parse
@@ -207,7 +207,7 @@
         for _, door, call in due:
             if owner and dice.random() > 0.1:
                 granted = counter.lease(now, until, "green", call.units, rule.limit(rate, burst, 11))
-                door.granted(now, "green", call.number, *granted)
+                door.granted(now, Granted("green", call.number, *granted))
     most = max(
         sum(start <= t < start + rule.span for t in served) for start in [50 + n * 0.1 for n in range(250)]
     )
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -10,8 +10,8 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from comb.copies import WORD
+from nectar.credits import Granted
 from queenless.core import LIST, SHARDS
-from queenless.deeds import Lent
 from swarm.peers import About
 from swarm.rendezvous import shard
 
@@ -169,7 +169,7 @@
             heard = [
                 deed
                 for deed in stage.world.doors[name].heard
-                if isinstance(deed, Lent) and deed.number == number
+                if isinstance(deed, Granted) and deed.number == number
             ]
             assert len(heard) == 1, name
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -17,8 +17,9 @@
 from comb.copies import NEVER, WORD, Item, Save
 from comb.word import Stamp
 from nectar.bounds import QuotaRule
+from nectar.credits import Granted, Lapsed
 from queenless.core import LIST, Core, Start
-from queenless.deeds import Changed, Danced, Deed, Lent, Mark, Message, Poll, Refused, Send
+from queenless.deeds import Changed, Danced, Deed, Mark, Message, Poll, Send
 from queenless.orders import Done
 from swarm.peers import About
 from waggle.news import Server
@@ -158,7 +159,7 @@
                         self.saw(name, deed.what, core.copies.stamp(deed.what))
                 case Done():
                     self.done(deed)
-                case Lent() | Refused() | Danced():
+                case Granted() | Lapsed() | Danced():
                     door.heard.append(deed)
 
     def send(self, source: str, to: str, message: Message) -> None:
