Answer a request of the system at once, too, when the decision on it fails

Cause: the host gives up truthfully on a request whose decision raised, but knew it by the front door's event types only, so the system's own Asked was held to its end, untried. The events that hold a request are named by the host's class now; the front door's stay the same. The new test fails without the change.

--- a/hive/front.py
+++ b/hive/front.py
@@ -58,6 +58,8 @@
 class Carrier(Host[Forager]):
     """Drives the Forager: its events and actions are those of the front door in service, and a few more."""
 
+    held_by = (Asked, i.Finished)
+
     def __init__(
         self, forager: Forager, servers: Servers, counts: Counts, lease: Callable[[Call], None]
     ) -> None:
--- a/ivymux/host.py
+++ b/ivymux/host.py
@@ -96,6 +96,8 @@
 
 
 class Host(Generic[M]):
+    held_by: tuple[type, ...] = (i.Request, i.Finished)  # events whose request nothing else would end
+
     def __init__(self, gateway: M, upstream: Upstream, counts: Counts) -> None:
         self.gateway, self.upstream, self.counts = gateway, upstream, counts
         self.counter: Counter | None = None
@@ -144,8 +146,8 @@
                 log.exception("could not carry out %s", type(action).__name__)
                 if isinstance(action, i.Send | i.Refuse | i.Fail):
                     self.give_up(action.request)
-        if failed and isinstance(event, i.Request | i.Finished):
-            self.give_up(event.request)
+        if failed and isinstance(event, self.held_by):
+            self.give_up(event.request)  # type: ignore[union-attr]
 
     def give_up(self, number: int) -> None:
         """A truthful final answer for a request that an error has left without one."""
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
+from comb.word import Route
+from forage.gate import Asked, Forager, Told
+from hive.front import Carrier
 from hive.servers import Line, Reply, Servers, Try, promise_kept
+from ivymux.host import Answer
 from ivymux.link import READ, Result
 from ivymux.metrics import Counts
+from orchidhill import interface as i
 from orchidhill.interface import Outcome
 
 
@@ -123,3 +128,31 @@
 def test_a_part_that_went_out_may_have_run() -> None:
     (result,), _ = play(ends=True, unsent=True)
     assert result.outcome is Outcome.RESET and not result.outcome.never_ran
+
+
+def test_a_request_whose_decision_fails_is_answered_at_once_and_promised_truly() -> None:
+    class Broken:
+        settings, actions = Told(i.Limits(2, True, True, False, True, 1.0, 0.3)), list[Any]()
+
+        def handle(self, now: float, event: object) -> list[Any]:
+            raise ZeroDivisionError
+
+    answers: list[Answer] = []
+
+    class Waits:
+        def reply(self, answer: Answer) -> None:
+            answers.append(answer)
+
+    async def run() -> None:
+        counts = Counts()
+        servers = Servers(0.3, 9.0, 100, counts)
+        carrier = Carrier(cast(Forager, Broken()), servers, counts, lambda call: None)
+
+        def make(request: int) -> Any:
+            return Asked(request, cast(Route, None), None, 9.0, False)
+
+        carrier.request(make, "read_only", 9.0, lambda left, backend: b"", cast(Any, Waits()))
+        assert [answer.status for answer in answers] == [503] and not carrier.table
+        servers.close()
+
+    asyncio.run(run())
