Read addresses by the front door's type, and marshmallow's problems in one place

Cause: hive.settings had Address and its parsing again beside ivymux.config; comb.check and hive.settings each had the lenient schema and the walk through marshmallow's messages. One of each is left; port 0 stays refused. Same behaviour: the checks' tests pass as they were.

--- a/comb/check.py
+++ b/comb/check.py
@@ -5,8 +5,9 @@
 import json
 from typing import Any
 
-from marshmallow import EXCLUDE, Schema, ValidationError, fields, validate
+from marshmallow import Schema, ValidationError, fields, validate
 
+from comb.schema import Lenient, problems
 from comb.word import number_of
 
 KINDS = ("read_only", "mutating", "upload")
@@ -19,11 +20,6 @@
     code = "invalid_configuration"
 
 
-class Lenient(Schema):
-    class Meta:
-        unknown = EXCLUDE
-
-
 class Part(Lenient):
     service = fields.String(required=True)
     shareWeight = fields.Float(required=True, validate=validate.Range(min=0))
@@ -89,14 +85,6 @@
 }
 
 
-def first(messages: Any, path: str = "") -> str:
-    """The first problem that marshmallow found, with the way to its field."""
-    while isinstance(messages, dict) and messages:
-        key = next(iter(messages))
-        path, messages = f"{path}.{key}" if path else str(key), messages[key]
-    return f"{path}: {messages[0] if isinstance(messages, list) and messages else messages}"
-
-
 def check(body: bytes) -> int:
     """The number of a configuration that may be taken; raises Invalid with the field that is wrong."""
     try:
@@ -106,7 +94,7 @@
     try:
         DOCUMENT.load(document)
     except ValidationError as error:
-        raise Invalid(first(error.messages_dict)) from None
+        raise Invalid(problems(error.messages)[0]) from None
     names: dict[str, set[str]] = {kind: set() for kind in SPECS}
     places: dict[tuple[str, str], str] = {}
     holders: dict[str, str] = {}
@@ -118,7 +106,7 @@
         try:
             SPECS[kind].load(spec)
         except ValidationError as error:
-            raise Invalid(first(error.messages_dict, f"{kind}.{name}")) from None
+            raise Invalid(problems(error.messages, f"{kind}.{name}")[0]) from None
         if name in names[kind]:
             raise Invalid(f"{kind}.{name}: stands twice")
         if kind != "limits" and not name:
--- a/hive/desk.py
+++ b/hive/desk.py
@@ -12,8 +12,8 @@
 from comb.check import Invalid, check
 from hive.front import Final, encode
 from hive.log import log
-from hive.settings import Address
 from ivymux.caller import BadRequest, Client, Exchange, Listener
+from ivymux.config import Address
 from ivymux.host import Answer, Open
 from ivymux.metrics import Counts
 
@@ -86,7 +86,7 @@
     head_timeout, idle_timeout = 3.0, 15.0
 
     def __init__(self, listen: Address, door: Door, roles: frozenset[str]) -> None:
-        super().__init__(listen, None, self, MOST_CALLERS)  # type: ignore[arg-type]
+        super().__init__(listen, None, self, MOST_CALLERS)
         self.make, self.door, self.roles = Caller, door, roles
 
     @property
--- a/hive/door.py
+++ b/hive/door.py
@@ -24,8 +24,8 @@
 from hive.mesh import Mesh
 from hive.platform import Platform, PlatformError
 from hive.servers import Servers
-from hive.settings import Address, Settings
-from ivymux.config import Address as Place
+from hive.settings import Settings
+from ivymux.config import Address, parse_address
 from ivymux.metrics import Counts
 from ivymux.pool import PER_BACKEND
 from nectar.credits import Call, Granted, Lapsed
@@ -239,8 +239,7 @@
             for server in self.forager.listed(now, service, self.core.news.tables[service].servers.values()):
                 self.servers.remove(server.number)
             for server in self.forager.fleet.services[service].values():
-                host, _, port = server.address.rpartition(":")
-                self.servers.place(server.number, Place(host, int(port)), 0.0)
+                self.servers.place(server.number, parse_address(server.address), 0.0)
         else:
             self.forager.close(now, self.core.copies.zones())
             log.say("comb", "closed zones", zones=",".join(sorted(self.core.copies.zones())) or "none")
--- a/hive/front.py
+++ b/hive/front.py
@@ -11,16 +11,16 @@
 
 from comb.word import Route, Tenant, Word
 from forage.gate import Asked, Deny, Forager, Forget, Lease
-from hive.servers import Reply, Servers, Stream, Try, promise_kept, status_line
-from hive.settings import Address
+from hive.servers import ID, Reply, Servers, Stream, Try, promise_kept, status_line
 from ivymux.caller import HOP_BY_HOP, LEAST_ADVICE, MOST_HELD, BadRequest, Client, Exchange, Listener
+from ivymux.config import Address
 from ivymux.host import Answer, Host, Open
 from ivymux.link import Attempt, Flow, Result, Sink
 from ivymux.metrics import Counts
 from nectar.credits import Call
 from orchidhill import interface as i
 
-ID, LEFT = b"x-hazelspring-attempt-id", b"x-hazelspring-remaining-milliseconds"
+LEFT = b"x-hazelspring-remaining-milliseconds"
 TENANT, EXPECTED = b"x-hazelspring-tenant-name", b"x-hazelspring-expected-instance"
 SINGLE = frozenset((ID, LEFT, b"host", b"authorization", b"content-length"))
 OURS = HOP_BY_HOP | {LEFT, TENANT, EXPECTED, b"authorization"}  # never passed on as they came
@@ -216,7 +216,7 @@
     def __init__(
         self, listen: Address, carrier: Carrier, most_clients: int, fresh: Callable[[], bool]
     ) -> None:
-        super().__init__(listen, None, carrier, most_clients)  # type: ignore[arg-type]
+        super().__init__(listen, None, carrier, most_clients)
         self.make = Visitor
         self.word: Word | None = None
         self.fresh = fresh
--- a/hive/platform.py
+++ b/hive/platform.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from hive.settings import Address
+from ivymux.config import Address
 
 PATIENCE = (
     1.5  # seconds for the whole list: half of the shortest time in which doors must know of a server's end
--- a/hive/settings.py
+++ b/hive/settings.py
@@ -6,9 +6,11 @@
 from pathlib import Path
 from typing import Any
 
-from marshmallow import EXCLUDE, Schema, ValidationError, fields, post_load, pre_load, validate
+from marshmallow import ValidationError, fields, post_load, pre_load, validate
 
+from comb.schema import Lenient, problems
 from forage.gate import Rule
+from ivymux.config import Address, ConfigError, parse_address
 from nectar.bounds import QuotaRule
 
 
@@ -18,18 +20,15 @@
     code = "settings"
 
 
-@dataclass(slots=True, frozen=True)
-class Address:
-    host: str
-    port: int
-
-
 class AddressField(fields.Field):  # type: ignore[type-arg]
     def _deserialize(self, value: Any, attr: Any, data: Any, **kwargs: Any) -> Address:
-        host, colon, port = str(value).rpartition(":")
-        if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
-            raise ValidationError("not HOST:PORT")
-        return Address(host, int(port))
+        try:
+            address = parse_address(value)
+        except ConfigError:
+            raise ValidationError("not HOST:PORT") from None
+        if not address.port:
+            raise ValidationError("no port")
+        return address
 
 
 class Listed(fields.Field):  # type: ignore[type-arg]
@@ -43,11 +42,6 @@
         return [self.inner.deserialize(part.strip()) for part in str(value).split(",") if part.strip()]
 
 
-class Lenient(Schema):
-    class Meta:
-        unknown = EXCLUDE
-
-
 class Limits(Lenient):
     memoryMb = fields.Float(load_default=300.0, validate=validate.Range(min=1))
     fileDescriptors = fields.Integer(load_default=1024, validate=validate.Range(min=256))
@@ -186,16 +180,6 @@
         )
 
 
-def problems(messages: Any, path: str = "") -> list[str]:
-    if isinstance(messages, dict):
-        return [
-            p
-            for key, value in messages.items()
-            for p in problems(value, f"{path}.{key}" if path else str(key))
-        ]
-    return [f"{path}: {text}" for text in messages]
-
-
 def parse(text: str) -> Settings:
     """Settings from the file's text; raises SettingsError with every problem."""
     lines = {}
