Derive what was kept twice, and take one path for voices, leases and items that are lacking

Cause: reading the change again. Gone, as nothing used it or it followed from other state: Forget, Job's and Asked's streams, Server.gone, held(), copies_on_disk() (what is on disk is always seen), Core.draining beside Duties.left, Orders' life and key, counts in owners(). One piece where two did the same: voices that told nothing newer (fresh_at and orders), a lease of this door's own counter (asked here or by message), what a disk lacks (offer and unsaved), who may read the list. An echo makes its state once, not twice; a home door passes a table on as it came.

--- a/comb/copies.py
+++ b/comb/copies.py
@@ -49,15 +49,20 @@
         item = self.seen.get(key)
         return item.stamp if item is not None else NEVER
 
-    def held(self) -> dict[str, Stamp]:
-        """What this door may tell others of: what is on its disk, or what it sees where it has none."""
-        return self.kept if self.disk else {item.key: item.stamp for item in self.seen.values()}
+    def stamps(self) -> dict[str, Stamp]:
+        """Of all that is seen."""
+        return {key: item.stamp for key, item in self.seen.items()}
+
+    def lacks(self, item: Item) -> bool:
+        """Whether an item is neither on this disk nor on its way there, nor a newer one."""
+        on_disk = max(self.kept.get(item.key, NEVER), self.saving.get(item.key, NEVER))
+        return self.disk and item.stamp > on_disk
 
     def offer(self, item: Item, elsewhere: bool) -> tuple[bool, Save | None]:
         """An item that came: whether it is seen from now on, and what is to be saved.  `elsewhere`: it is on
         another door's disk."""
         save = None
-        if self.disk and item.stamp > max(self.kept.get(item.key, NEVER), self.saving.get(item.key, NEVER)):
+        if self.lacks(item):
             self.saving[item.key] = item.stamp
             save = Save(item)
         new = (elsewhere or not self.disk) and item.stamp > self.stamp(item.key)
@@ -80,8 +85,8 @@
     def unsaved(self) -> list[Save]:
         """What is seen but on no disk here, and not on its way: a save that failed is tried again."""
         lacking = []
-        for item in self.seen.values() if self.disk else ():
-            if item.stamp > max(self.kept.get(item.key, NEVER), self.saving.get(item.key, NEVER)):
+        for item in self.seen.values():
+            if self.lacks(item):
                 self.saving[item.key] = item.stamp
                 lacking.append(Save(item))
         return lacking
--- a/forage/fleet.py
+++ b/forage/fleet.py
@@ -42,7 +42,6 @@
     pace: float = 1.0  # its time for a request against that of all
     failures: int = 0  # in a row
     suspect_until: float = 0.0
-    gone: bool = False
 
     def busy(self, now: float) -> float:
         """Requests there: this door's, those that others tell of and, fading, what the server told beyond them."""
@@ -50,7 +49,7 @@
         return self.out + self.others + unseen * max(0.0, 1 - (now - self.told_at) / FADE)
 
     def usable(self, now: float, closed: frozenset[str]) -> bool:
-        return self.accepting and not self.gone and self.zone not in closed and now >= self.cold_until
+        return self.accepting and self.zone not in closed and now >= self.cold_until
 
 
 @dataclass(slots=True)
@@ -113,7 +112,6 @@
         self.services[service] = found
         gone = list(known.values()) if known else []
         for server in gone:
-            server.gone = True
             del self.servers[server.number]
         return gone
 
--- a/forage/gate.py
+++ b/forage/gate.py
@@ -42,7 +42,6 @@
     route: Route
     tenant: Tenant | None
     left: float
-    streams: bool
 
 
 @dataclass(slots=True)
@@ -65,13 +64,6 @@
     call: Call
 
 
-@dataclass(slots=True)
-class Forget:
-    """A server that is gone: its idle connections end."""
-
-    server: Server
-
-
 @dataclass(slots=True)
 class Job:
     request: int
@@ -79,8 +71,6 @@
     service: str
     tenant: Tenant | None
     end: float
-    streams: bool
-    began: float
     tried: set[int] = field(default_factory=set)
     sent: int = 0
     out: int = 0
@@ -178,7 +168,7 @@
     def asked(self, event: Asked) -> None:
         route, tenant = event.route, event.tenant
         service = route.service(self.random.random())
-        job = Job(event.request, route, service, tenant, self.now + event.left, event.streams, self.now)
+        job = Job(event.request, route, service, tenant, self.now + event.left)
         self.jobs[job.request] = job
         self.allowance(service).request(self.now)
         if not route.open and self.now > self.fresh_until:
--- a/hive/front.py
+++ b/hive/front.py
@@ -10,7 +10,7 @@
 import httptools
 
 from comb.word import Route, Tenant, Word
-from forage.gate import Asked, Deny, Forager, Forget, Lease
+from forage.gate import Asked, Deny, Forager, Lease
 from hive.servers import ID, Reply, Servers, Stream, Try, promise_kept, status_line
 from ivymux.caller import HOP_BY_HOP, LEAST_ADVICE, MOST_HELD, BadRequest, Client, Exchange, Listener
 from ivymux.config import Address
@@ -78,8 +78,6 @@
                 self.end(action.request, Final(429, retry_after=action.retry_after))
             case i.Fail():
                 self.fail(action.request)
-            case Forget():
-                self.upstream.remove(action.server.number)
             case _:
                 super().carry_out(action)
 
@@ -200,7 +198,7 @@
             )  # fmt: skip
 
         def make(request: int) -> Any:
-            return Asked(request, route, tenant, timeout, upload is not None)
+            return Asked(request, route, tenant, timeout)
 
         exchange.request = front.host.request(make, route.kind, timeout, payload, exchange, upload, id_)
 
--- a/hive/servers.py
+++ b/hive/servers.py
@@ -44,7 +44,7 @@
 class Line(Link):
     """One connection to a server."""
 
-    __slots__ = ("foreign", "id", "passed", "seal")
+    __slots__ = ("foreign", "id", "out_of_step", "passed", "seal")
 
     def clear(self) -> None:
         super().clear()
@@ -53,7 +53,8 @@
 
     def __init__(self, pool: Pool) -> None:
         super().__init__(pool)
-        self.foreign = False  # an answer to another request has come on it
+        self.foreign = False  # what comes now answers another request
+        self.out_of_step = False  # that has happened: it is not used again
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.headed_at:
@@ -94,9 +95,7 @@
                 self.spoilt("foreign")
                 return
             self.clear()
-            self.foreign = False
-            self.keep = False
-            self.age_part = 0.0  # what came out of step once is not kept
+            self.foreign, self.out_of_step = False, True
             return
         had = self.result
         super().on_message_complete()
@@ -105,8 +104,7 @@
             return
         status = self.parser.get_status_code()
         outcome = Outcome.OK if 200 <= status < 300 else Outcome.FULL if self.not_started else Outcome.ERROR
-        if self.age_part == 0.0:
-            self.keep = False
+        self.keep = self.keep and not self.out_of_step
         self.result = Reply(outcome, result.spent, result.report, result.body, b"", status, self.passed)
 
     def connection_lost(self, error: Exception | None) -> None:
--- a/queenless/beats.py
+++ b/queenless/beats.py
@@ -27,7 +27,7 @@
         """What others want to know of this door, and what seldom changes."""
         told: dict[str, Any] = {"n": self.news.versions(), "m": {"doors": self.peers.most_doors}}
         if self.peers.me.disk:
-            told["h"] = {key: list(stamp) for key, stamp in self.copies.held().items()}
+            told["h"] = {key: list(stamp) for key, stamp in self.copies.kept.items()}
             told["d"] = self.duties.told(now)
         return told
 
@@ -75,7 +75,7 @@
 
     def answer(self, now: float, about: About | None, message: Message, voice: bool) -> Message:
         """The echo to a beat; the beat's sender is asked who it is where that is not known."""
-        me, state = self.peers.me, self.state(now)
+        me = self.peers.me
         echo: Message = {"k": "echo", "l": me.life, "t": message["t"], "v": voice}
         if "a" in message or now - self.began < YOUNG:
             echo["a"] = me.row()
@@ -89,7 +89,7 @@
             granted = [duty for duty in message.get("w", ()) if self.duties.granter.ask(now, str(duty), who)]
             if granted:
                 echo["g"] = granted
-            state = self.state(now)
+        state = self.state(now)  # after the grants, which it tells of
         if message["x"] != self.sum_of(state):
             echo["z"] = state
         if message["c"] != self.peers.core_sum():
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -55,14 +55,13 @@
         for row in start.core:
             self.peers.meet(now - QUIET, About(*row))
         self.peers.most_doors = self.marked_doors = start.doors
-        self.orders = Orders(self.peers, self.copies, start.about.life)
+        self.orders = Orders(self.peers, self.copies)
         self.duties = Duties(self.peers, now, start.first, SHARDS + 1)
         self.counter, self.limit = Counter(window), limit
         self.herald = Herald(self.peers)
         self.news = self.herald.news
         self.beats = Beats(self.peers, self.copies, self.duties, self.news, now)
         self.ready = False
-        self.draining = False
         self.polled_at, self.polling = -1e9, False
         self.asked: dict[str, tuple[float, int]] = {}  # what was asked for, when, and how often
         self.owed: dict[str, list[tuple[str, Item]]] = {}  # who waits for an item to be on this disk
@@ -76,19 +75,11 @@
 
     def fresh_at(self, now: float) -> float:
         """Every change acknowledged up to then is seen here."""
-        seen = self.copies.seen
-        times = [now] if self.voice and self.copies_on_disk() else []
-        for ip in self.peers.core:
-            peer = self.peers.peers.get(ip)
-            if peer is None or not peer.voice or ip == self.me.ip:
-                continue
-            if all(stamp <= self.copies.stamp(key) for key, stamp in peer.stamps.items()):
-                times.append(peer.asked_at)
+        times = sorted(self.peers.voices(self.copies.stamps()), reverse=True)
+        if self.voice:
+            times.insert(0, now)
         needed = voices_needed(len(self.peers.core))
-        return sorted(times, reverse=True)[needed - 1] if len(times) >= needed and seen else -1e9
-
-    def copies_on_disk(self) -> bool:
-        return all(stamp <= self.copies.stamp(key) for key, stamp in self.copies.kept.items())
+        return times[needed - 1] if len(times) >= needed and self.copies.seen else -1e9
 
     def put(self, now: float, token: int, body: bytes) -> list[Deed]:
         """An operator's configuration that `comb.check` has let pass."""
@@ -137,7 +128,7 @@
 
     def beat(self, now: float, ip: str) -> None:
         wants = self.duties.wanted(now) if self.settled(now) else []
-        self.deeds.append(Send(ip, self.beats.beat(now, ip, self.ready and not self.draining, wants)))
+        self.deeds.append(Send(ip, self.beats.beat(now, ip, self.ready and not self.duties.left, wants)))
 
     def speak_up(self) -> None:
         """An empty disk's voice counts once it holds all that enough voices have told."""
@@ -156,7 +147,7 @@
     def advance(self, now: float) -> None:
         if not self.orders.open:
             return
-        for action in self.orders.step(now, self.voice, self.settled(now), WORD):
+        for action in self.orders.step(now, self.voice, self.settled(now)):
             if isinstance(action, Copy):
                 self.deeds.append(Send(action.to, {"k": "keep", "i": self.pack(action.item)}))
             else:
@@ -172,7 +163,7 @@
             if peer is None or ip == self.me.ip:
                 continue
             for key, stamp in peer.stamps.items():
-                if stamp > max(self.copies.stamp(key), NEVER):
+                if stamp > self.copies.stamp(key):
                     self.ask(now, key, stamp)
             for service in self.news.newer(peer.news):
                 self.ask_news(now, service, peer.news[service])
@@ -180,14 +171,12 @@
     def ask(self, now: float, key: str, stamp: tuple[int, bytes]) -> None:
         if key == WORD and self.copies.saving.get(key, NEVER) >= stamp and self.me.disk:
             return  # it is on its way to this disk
-        have = [ip for ip in self.peers.others() if ip in self.peers.peers]
-        have = [ip for ip in have if self.peers.peers[ip].stamps.get(key, NEVER) >= stamp]
-        self.ask_one(now, f"item {key}", have, {"k": "want", "i": key})
+        has = self.peers.others_where(lambda peer: peer.stamps.get(key, NEVER) >= stamp)
+        self.ask_one(now, f"item {key}", has, {"k": "want", "i": key})
 
     def ask_news(self, now: float, service: str, version: int) -> None:
-        have = [ip for ip in self.peers.others() if ip in self.peers.peers]
-        have = [ip for ip in have if self.peers.peers[ip].news.get(service, 0) >= version]
-        self.ask_one(now, f"news {service}", have, {"k": "want", "s": service})
+        has = self.peers.others_where(lambda peer: peer.news.get(service, 0) >= version)
+        self.ask_one(now, f"news {service}", has, {"k": "want", "s": service})
 
     def ask_one(self, now: float, what: str, have: list[str], message: Message) -> None:
         """Ask the nearest that has it; one that did not answer in time, and the next one, in turn."""
@@ -206,15 +195,18 @@
         if self.settled(now):
             self.duties.recall(now)
             self.duties.renew(now)
-        may = self.duties.until(LIST) > now or (not self.news.tables and now - self.began > BARE)
-        if may and not self.polling and now - self.polled_at >= POLL:
+        young = now - self.began <= BARE and self.duties.until(LIST) <= now
+        if self.may_list(now) and not young and not self.polling and now - self.polled_at >= POLL:
             self.polling, self.polled_at = True, now
             self.deeds.append(Poll())
 
+    def may_list(self, now: float) -> bool:
+        """Whether the platform's list is this door's to read: by its duty, or for want of any table."""
+        return self.duties.until(LIST) > now or not self.news.tables
+
     def drain(self, now: float) -> list[Deed]:
         """This door leaves in order: its duties go to others at once."""
         self.deeds = []
-        self.draining = True
         message = {"k": "free", "a": self.me.row(), "d": self.duties.leave(now)}
         self.deeds += [Send(ip, message) for ip in self.peers.others()]
         return self.deeds
@@ -224,7 +216,7 @@
     def listed(self, now: float, wall_ms: int, found: dict[str, dict[str, Server]] | None) -> list[Deed]:
         """The platform's list, or that it could not be read."""
         self.polling = False
-        if found is None or not (self.duties.until(LIST) > now or not self.news.tables):
+        if found is None or not self.may_list(now):
             return []
         return self.herald.listed(now, wall_ms, found)
 
@@ -237,18 +229,27 @@
     def lease(self, now: float, tenant: str, number: int, units: float) -> list[Deed]:
         """A call of this door to the counter of a tenant."""
         self.deeds = []
-        duty = 1 + shard(tenant, SHARDS)
-        holder = self.duties.holder(now, duty)
-        if holder is None:
-            self.deeds.append(Lapsed(tenant))
-        elif holder == self.me.ip:
-            granted = self.counter.lease(now, self.duties.until(duty), tenant, units, self.limit(tenant))
-            if units > 0:
-                self.deeds.append(Granted(tenant, number, *granted))
-        else:
+        holder = self.duties.holder(now, self.counter_of(tenant))
+        if holder is not None and holder != self.me.ip:
             self.deeds.append(Send(holder, {"k": "lease", "n": tenant, "q": number, "u": int(units)}))
+        elif (granted := self.count(now, tenant, number, units)) is None:
+            self.deeds.append(Lapsed(tenant))
+        elif units > 0:
+            self.deeds.append(granted)
         return self.deeds
 
+    @staticmethod
+    def counter_of(tenant: str) -> int:
+        """The duty that a tenant's counter belongs to."""
+        return 1 + shard(tenant, SHARDS)
+
+    def count(self, now: float, tenant: str, number: int, units: float) -> Granted | None:
+        """Add to a counter of this door; nothing where it is not this door's."""
+        until = self.duties.until(self.counter_of(tenant))
+        if until <= now:
+            return None
+        return Granted(tenant, number, *self.counter.lease(now, until, tenant, units, self.limit(tenant)))
+
     # --- messages -----------------------------------------------------------------------------------------
 
     def heard(self, now: float, source: str, message: Message) -> list[Deed]:
@@ -330,20 +331,17 @@
             self.deeds.append(Send(source, {"k": "news", "n": self.news.pack(now, message["s"])}))
 
     def on_lease(self, now: float, source: str, message: Message) -> None:
-        tenant, units = message["n"], message["u"]
-        until = self.duties.until(1 + shard(tenant, SHARDS))
-        if until <= now:
-            self.deeds.append(Send(source, {"k": "lost", "n": tenant}))
-            return
-        granted, left, filled = self.counter.lease(now, until, tenant, units, self.limit(tenant))
-        if units > 0:
+        granted = self.count(now, message["n"], message["q"], message["u"])
+        if granted is None:
+            self.deeds.append(Send(source, {"k": "lost", "n": message["n"]}))
+        elif message["u"] > 0:
             answer = {
                 "k": "grant",
-                "n": tenant,
-                "q": message["q"],
-                "u": int(granted),
-                "l": int(1000 * left),
-                "f": int(100 * filled),
+                "n": granted.tenant,
+                "q": granted.number,
+                "u": int(granted.units),
+                "l": int(1000 * granted.left),
+                "f": int(100 * granted.filled),
             }
             self.deeds.append(Send(source, answer))
 
--- a/queenless/herald.py
+++ b/queenless/herald.py
@@ -36,8 +36,7 @@
         """A table that another door told."""
         if not self.news.take(now, packed):
             return []
-        service = packed[0]
-        return [Changed(f"service:{service}"), *self.tell_zone(service, self.news.pack(now, service))]
+        return [Changed(f"service:{packed[0]}"), *self.tell_zone(packed[0], packed)]
 
     def tell_zone(self, service: str, packed: list[Any]) -> list[Deed]:
         """The home door tells the others of its zone."""
--- a/queenless/orders.py
+++ b/queenless/orders.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from comb.copies import NEVER, ZONE, Copies, Item, copies_needed, voices_needed
+from comb.copies import NEVER, WORD, ZONE, Copies, Item, copies_needed, voices_needed
 from swarm.peers import Peers
 
 AGAIN = 0.25  # seconds between sendings to a disk that has not answered
@@ -21,7 +21,7 @@
     zone: str = ""
     closed: bool = False
     target: Item | None = None
-    sent: dict[str, float] | None = None
+    sent: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True, frozen=True)
@@ -44,25 +44,25 @@
 
 
 class Orders:
-    def __init__(self, peers: Peers, copies: Copies, life: int) -> None:
-        self.peers, self.copies, self.life = peers, copies, life
+    def __init__(self, peers: Peers, copies: Copies) -> None:
+        self.peers, self.copies = peers, copies
         self.open: dict[int, Order] = {}
 
     def begin(self, order: Order) -> None:
         self.open[order.token] = order
 
     def voices(self, since: float, voice: bool) -> int:
-        return self.peers.told(since, {k: i.stamp for k, i in self.copies.seen.items()}) + voice
+        return self.peers.told(since, self.copies.stamps()) + voice
 
-    def step(self, now: float, voice: bool, settled: bool, key: str) -> list[Done | Copy]:
+    def step(self, now: float, voice: bool, settled: bool) -> list[Done | Copy]:
         """Bring every order on as far as it goes; `voice`: this door's own counts."""
         actions: list[Done | Copy] = []
         core = len(self.peers.core)
         for order in list(self.open.values()):
             if order.target is None and settled and self.voices(order.began, voice) >= voices_needed(core):
-                self.aim(order, key)
+                self.aim(order)
                 if order.wanted is None and not order.zone:
-                    found = self.copies.seen.get(key)
+                    found = self.copies.seen.get(WORD)
                     why = "" if found is not None else "look: no configuration was ever acknowledged"
                     actions.append(self.end(order, Done(order.token, found is not None, why, item=found)))
                     continue
@@ -80,10 +80,10 @@
         del self.open[order.token]
         return done
 
-    def aim(self, order: Order, key: str) -> None:
+    def aim(self, order: Order) -> None:
         """What is to be on enough disks: the order, or what has overtaken it."""
         if order.wanted is not None:
-            held = self.copies.seen.get(key)
+            held = self.copies.seen.get(WORD)
             order.target = (
                 held if held is not None and held.stamp[0] >= order.wanted.stamp[0] else order.wanted
             )
@@ -94,8 +94,7 @@
                 order.target = held
             else:
                 number = max(0, self.copies.stamp(name)[0]) + 1
-                order.target = Item(name, (number, self.life.to_bytes(8, "big")), blob)
-        order.sent = {}
+                order.target = Item(name, (number, self.peers.me.life.to_bytes(8, "big")), blob)
 
     def copied(self, order: Order) -> int:
         """Disks that are known to hold the target or what came after it."""
@@ -107,7 +106,7 @@
         return own + sum(peer.stamps.get(key, NEVER) >= stamp for peer in others)
 
     def spread(self, now: float, order: Order) -> list[Copy]:
-        assert order.target is not None and order.sent is not None
+        assert order.target is not None
         found = []
         for ip in self.peers.core:
             peer = self.peers.peers.get(ip)
--- a/swarm/duties.py
+++ b/swarm/duties.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from swarm.peers import TERM, Peers
-from swarm.rendezvous import owners
+from swarm.rendezvous import owner
 
 SHORT = 0.9  # part of it that a holder relies on, as steady clocks may differ in speed,
 MARGIN = 0.1  # and seconds less, for what lies between a look at the clock and the deed
@@ -124,7 +124,7 @@
                 found.append(duty)
                 continue
             free = holder is None or not self.peers.alive(now, holder)
-            if free and owners(f"duty {duty}", alive)[0] == self.peers.me.ip:
+            if free and owner(f"duty {duty}", alive) == self.peers.me.ip:
                 found.append(duty)
         return found
 
--- a/swarm/peers.py
+++ b/swarm/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import zlib
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -108,6 +109,10 @@
         }
         return sorted(far, key=lambda ip: (far[ip], ip))
 
+    def others_where(self, has: Callable[[Peer], bool]) -> list[str]:
+        """Of the core without this door those that were heard and are so, the near ones first."""
+        return [ip for ip in self.others() if ip in self.peers and has(self.peers[ip])]
+
     def alive(self, now: float, ip: str) -> bool:
         peer = self.peers.get(ip)
         return ip == self.me.ip or (peer is not None and now - peer.heard_at < SILENT)
@@ -116,19 +121,18 @@
         peer = self.peers.get(ip)
         return peer is not None and peer.leaving
 
-    def told(self, since: float, needed_stamps: dict[str, Stamp] | None = None) -> int:
+    def voices(self, seen: dict[str, Stamp]) -> list[float]:
+        """Of each voice that told nothing above the stamps: when the last beat that it answered was sent."""
+        known = [self.peers[ip] for ip in self.core if ip in self.peers]
+        return [
+            peer.asked_at
+            for peer in known
+            if peer.voice and all(stamp <= seen.get(key, NEVER) for key, stamp in peer.stamps.items())
+        ]
+
+    def told(self, since: float, seen: dict[str, Stamp]) -> int:
         """Voices that answered a beat sent at `since` or later, and told nothing above the stamps."""
-        count = 0
-        for ip in self.core:
-            peer = self.peers.get(ip)
-            if peer is None or not peer.voice or peer.asked_at < since:
-                continue
-            if needed_stamps is not None and any(
-                stamp > needed_stamps.get(key, NEVER) for key, stamp in peer.stamps.items()
-            ):
-                continue
-            count += 1
-        return count
+        return sum(asked_at >= since for asked_at in self.voices(seen))
 
     def note(self, now: float, about: About, ready: bool) -> None:
         """A beat has come: a row of the roster."""
--- a/swarm/rendezvous.py
+++ b/swarm/rendezvous.py
@@ -10,9 +10,9 @@
     return hashlib.blake2b(f"{thing}\0{name}".encode(), digest_size=8).digest()
 
 
-def owners(thing: str, names: Iterable[str], count: int = 1) -> list[str]:
-    """The first `count` names for a thing, the best first."""
-    return sorted(names, key=lambda name: weight(thing, name), reverse=True)[:count]
+def owner(thing: str, names: Iterable[str]) -> str | None:
+    """The name for a thing; none where there are no names."""
+    return max(names, key=lambda name: weight(thing, name), default=None)
 
 
 def shard(thing: str, shards: int) -> int:
--- a/tests/test_forage.py
+++ b/tests/test_forage.py
@@ -73,7 +73,7 @@
         self.number += 1
         route = WORD.route("h", path)
         assert route is not None
-        return self.handle(Asked(self.number, route, WORD.tenants[tenant], left, False))
+        return self.handle(Asked(self.number, route, WORD.tenants[tenant], left))
 
     def handle(self, event: Any) -> list[Any]:
         return list(self.forager.handle(self.now, event))
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -149,7 +149,7 @@
         carrier = Carrier(cast(Forager, Broken()), servers, counts, lambda call: None)
 
         def make(request: int) -> Any:
-            return Asked(request, cast(Route, None), None, 9.0, False)
+            return Asked(request, cast(Route, None), None, 9.0)
 
         carrier.request(make, "read_only", 9.0, lambda left, backend: b"", cast(Any, Waits()))
         assert [answer.status for answer in answers] == [503] and not carrier.table
--- a/tests/world.py
+++ b/tests/world.py
@@ -66,9 +66,6 @@
         self.acks: list[Ack] = []
         self.results: dict[int, Done] = {}
         self.tokens = itertools.count(1)
-        self.sent: dict[
-            int, tuple[str, Item | None]
-        ] = {}  # what each order that may be acknowledged was to bring
         self.listing: dict[str, dict[str, Server]] | None = {
             "shop": {"i-1": Server("i-1", "s:1", "z0", True, 2, "v1")}
         }
--- a/waggle/news.py
+++ b/waggle/news.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from swarm.rendezvous import owners
+from swarm.rendezvous import owner
 
 
 @dataclass(slots=True, frozen=True)
@@ -112,4 +112,4 @@
 
 def home(service: str, zone: str, doors: Iterable[str]) -> str | None:
     """The zone's door that tells the others of a service."""
-    return next(iter(owners(f"{service}@{zone}", doors)), None)
+    return owner(f"{service}@{zone}", doors)
