End a promise of a duty with the asking for it, so that counters are back within a second

Cause: after a common loss each core door that has heard nobody yet takes itself for first in line and asks for every duty. Whoever answers it promises it all, and that promise keeps the right door waiting for a term (2 s).

Change: what a beat leaves out its sender counts on no more (it forgets earlier answers first), so the granter ends that promise on a beat younger than the asking. Who hears less than half of the core asks for nothing new. A changed asking is told at once.

Ruled out: waiting a fixed time after the start, which a door that stays down would make the rule.

--- a/queenless/beats.py
+++ b/queenless/beats.py
@@ -86,7 +86,9 @@
             if "q" in message:
                 echo["p"] = self.duties.counts_on(now, (about.ip, about.life))
             who = (about.ip, about.life)
-            granted = [duty for duty in message.get("w", ()) if self.duties.granter.ask(now, str(duty), who)]
+            wants, asked = message.get("w", []), message["t"]
+            self.duties.granter.unasked(who, wants, asked)
+            granted = [duty for duty in wants if self.duties.granter.ask(now, str(duty), who, asked)]
             if granted:
                 echo["g"] = granted
         state = self.state(now)  # after the grants, which it tells of
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -107,8 +107,10 @@
         self.deeds = []
         self.deeds += self.copies.unsaved()
         enough = now - self.fresh_at(now) < 2 * NEAR_BEAT
+        before = self.duties.asking
+        anew = self.duties.asks(now, self.settled(now)) != before
         for ip in self.peers.others():
-            if self.beats.due(now, ip, enough):
+            if anew or self.beats.due(now, ip, enough):
                 self.beat(now, ip)
         heard = any(self.peers.alive(now, ip) for ip in self.peers.others())
         if not heard or (self.first and not self.settled(now)):
@@ -127,7 +129,7 @@
         return self.deeds
 
     def beat(self, now: float, ip: str) -> None:
-        wants = self.duties.wanted(now) if self.settled(now) else []
+        wants = self.duties.asks(now, self.settled(now))
         self.deeds.append(Send(ip, self.beats.beat(now, ip, self.ready and not self.duties.left, wants)))
 
     def speak_up(self) -> None:
--- a/swarm/duties.py
+++ b/swarm/duties.py
@@ -15,8 +15,11 @@
 
 @dataclass(slots=True)
 class Grant:
+    """`asked` is when it was asked for, by the asker's clock; None where it was recalled, until it is asked anew."""
+
     who: Who
     until: float
+    asked: float | None = None
 
 
 class Granter:
@@ -27,16 +30,28 @@
         self.silent_until = now if first else now + TERM
         self.grants: dict[str, Grant] = {}
 
-    def ask(self, now: float, duty: str, who: Who) -> bool:
-        """Whether the duty is this asker's for a term from now on."""
+    def ask(self, now: float, duty: str, who: Who, asked: float) -> bool:
+        """Whether the duty is this asker's for a term from now on; `asked` by its clock."""
         grant = self.grants.get(duty)
         if now < self.silent_until:
             return False
         if grant is not None and grant.who != who and now < grant.until:
             return False
-        self.grants[duty] = Grant(who, now + TERM)
+        known = grant.asked if grant is not None and grant.who == who else None
+        self.grants[duty] = Grant(who, now + TERM, asked if known is None else max(asked, known))
         return True
 
+    def unasked(self, who: Who, wants: list[int], asked: float) -> None:
+        """What an asker has no more in its beat it counts on no more: these promises end, a late beat ends none."""
+        for duty, grant in list(self.grants.items()):
+            if (
+                grant.who == who
+                and int(duty) not in wants
+                and grant.asked is not None
+                and grant.asked < asked
+            ):
+                del self.grants[duty]
+
     def recall(self, now: float, told: dict[Who, list[int]]) -> None:
         """All other core doors have told what they count on: that is promised again, and silence ends."""
         if now >= self.silent_until:
@@ -58,8 +73,10 @@
 
 @dataclass(slots=True)
 class Hold:
-    """A duty as one candidate sees it: when it asked each core door that said yes, and which life of it did."""
+    """A duty as one candidate sees it: since when it has asked in every beat, when it asked each core door that
+    said yes, and which life of it did."""
 
+    since: float | None = None
     yes: dict[str, tuple[float, int]] = field(default_factory=dict)
 
     def counts_on(self, now: float, who: Who) -> bool:
@@ -82,6 +99,7 @@
         self.peers, self.count = peers, count
         self.granter = Granter(now, first)
         self.holds: dict[int, Hold] = {}
+        self.asking: list[int] = []  # what the last beat asked for
         self.left = False
 
     def me(self) -> Who:
@@ -117,6 +135,7 @@
         if self.left or not self.peers.me.disk:
             return []
         alive = [ip for ip in self.peers.core if self.peers.alive(now, ip) and not self.peers.leaving(ip)]
+        enough = len(alive) > len(self.peers.core) // 2  # with fewer, who is first in line is not known
         found = []
         for duty in range(self.count):
             holder = self.holder(now, duty)
@@ -124,18 +143,37 @@
                 found.append(duty)
                 continue
             free = holder is None or not self.peers.alive(now, holder)
-            if free and owner(f"duty {duty}", alive) == self.peers.me.ip:
+            if free and enough and owner(f"duty {duty}", alive) == self.peers.me.ip:
                 found.append(duty)
         return found
 
+    def asks(self, now: float, settled: bool) -> list[int]:
+        """What a beat that goes out now asks for.  On a promise of what it leaves out this door counts no more, so
+        whoever promised it is free: what two doors wanted at once is held up by a beat, not by a term."""
+        wants = self.wanted(now) if settled else []
+        for duty, hold in self.holds.items():
+            if duty not in wants and hold.since is not None:
+                hold.since = None
+                hold.yes.clear()
+                self.granter.release(str(duty), self.me())
+        for duty in wants:
+            hold = self.holds.setdefault(duty, Hold())
+            if hold.since is None:
+                hold.since = now
+        self.asking = wants
+        return wants
+
     def renew(self, now: float) -> None:
-        """This door's own grants for what it wants."""
-        for duty in self.wanted(now):
-            if self.granter.ask(now, str(duty), self.me()):
+        """This door's own grants for what it asks for."""
+        for duty in self.asks(now, settled=True):
+            if self.granter.ask(now, str(duty), self.me(), now):
                 self.granted(duty, self.peers.me.ip, now, self.peers.me.life)
 
     def granted(self, duty: int, ip: str, asked_at: float, life: int) -> None:
-        self.holds.setdefault(duty, Hold()).yes[ip] = (asked_at, life)
+        """A core door's yes to a beat; one from before this door last began to ask counts for nothing."""
+        hold = self.holds.get(duty)
+        if hold is not None and hold.since is not None and asked_at >= hold.since:
+            hold.yes[ip] = (asked_at, life)
 
     def counts_on(self, now: float, who: Who) -> list[int]:
         return [duty for duty, hold in self.holds.items() if hold.counts_on(now, who)]
--- a/tests/scenarios/swarm.feature
+++ b/tests/scenarios/swarm.feature
@@ -53,6 +53,14 @@
     And 1.2 seconds pass
     Then the list has a holder
 
+  Scenario: All processes are killed and come back one after the other, and no duty waits for a term
+    Given 4 core doors and 3 others
+    And configuration 5 is everywhere
+    When every door loses power, and none its disk
+    And every door comes back within 0.3 seconds
+    And 1.2 seconds pass
+    Then every duty has a holder
+
   Scenario: A killed door promises nothing that others count on
     Given 3 core doors and 0 others
     And configuration 5 is everywhere
--- /dev/null
+++ b/tests/test_duties.py
@@ -0,0 +1,66 @@
+"""Promises of duties: they end with the asking for them, and no late message brings one back or ends another."""
+
+from __future__ import annotations
+
+from swarm.duties import Duties, Granter
+from swarm.peers import TERM, About, Peers
+
+ME, OTHER = ("d1", 1), ("d2", 1)
+
+
+def core_of_three() -> Duties:
+    """One of three core doors that is first in line for duty 0, and has heard the others."""
+    abouts = [About(ip, "z", "west", True, 1) for ip in ("d1", "d2", "d3")]
+    peers = Peers(abouts[0], 0.0)
+    for about in abouts[1:]:
+        peers.meet(0.0, about)
+        peers.peer(about).heard_at = 10.0
+    return Duties(peers, 0.0, first=True, count=12)
+
+
+def test_a_promise_ends_once_its_asker_asks_no_more() -> None:
+    granter = Granter(0.0, first=True)
+    assert granter.ask(1.0, "0", ME, 1.0)
+    assert not granter.ask(1.1, "0", OTHER, 1.1)
+    granter.unasked(ME, [], 0.9)  # a beat from before, late on its way
+    assert not granter.ask(1.2, "0", OTHER, 1.2)
+    granter.unasked(ME, [0], 1.3)
+    assert not granter.ask(1.3, "0", OTHER, 1.3)
+    granter.unasked(ME, [], 1.4)
+    assert granter.ask(1.4, "0", OTHER, 1.4)
+
+
+def test_what_was_recalled_ends_only_after_it_was_asked_for_again() -> None:
+    granter = Granter(0.0, first=False)
+    granter.recall(0.5, {ME: [0]})
+    granter.unasked(ME, [], 0.4)  # perhaps sent before the promise that was recalled
+    assert not granter.ask(0.6, "0", OTHER, 0.6)
+    assert granter.ask(0.7, "0", ME, 0.7)
+    granter.unasked(ME, [], 0.8)
+    assert granter.ask(0.9, "0", OTHER, 0.9)
+
+
+def test_a_yes_to_an_earlier_asking_counts_for_nothing() -> None:
+    duties = core_of_three()
+    wants = duties.asks(10.0, settled=True)
+    duty = wants[0]
+    for ip in ("d2", "d3"):
+        duties.granted(duty, ip, 10.0, 1)
+    assert duties.until(duty) > 10.0
+    assert duties.asks(10.1, settled=False) == [] and duties.until(duty) <= 10.1
+    for ip in ("d2", "d3"):
+        duties.granted(duty, ip, 10.0, 1)  # the answers come a second time
+    assert duties.until(duty) <= 10.1
+    assert duty in duties.asks(10.2, settled=True)
+    for ip in ("d2", "d3"):
+        duties.granted(duty, ip, 10.0, 1)
+    assert duties.until(duty) <= 10.2
+    for ip in ("d2", "d3"):
+        duties.granted(duty, ip, 10.2, 1)
+    assert 10.2 < duties.until(duty) < 10.2 + TERM
+
+
+def test_who_hears_less_than_half_of_the_core_wants_nothing_new() -> None:
+    duties = core_of_three()
+    assert duties.asks(10.0, settled=True)
+    assert duties.asks(20.0, settled=True) == []  # the others were last heard ten seconds ago
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -4,6 +4,7 @@
 
 import re
 from dataclasses import replace
+from functools import partial
 from typing import Any
 
 import pytest
@@ -115,6 +116,13 @@
             stage.world.start(name)
 
 
+@when(parsers.parse("every door comes back within {seconds:f} seconds"))
+def all_back_by_and_by(stage: Stage, seconds: float) -> None:
+    world = stage.world
+    for name in world.doors:
+        world.at(world.now + seconds * world.random.random(), partial(world.start, name))
+
+
 @when(parsers.re(r"the core is cut into (?P<one>[\d, ]+) and (?P<other>[\d, ]+)"))
 def core_cut(stage: Stage, one: str, other: str) -> None:
     for a in stage.names(one):
@@ -292,6 +300,11 @@
     assert stage.world.fresh(f"d{door}") is (no is None)
 
 
+@then("every duty has a holder")
+def all_held(stage: Stage) -> None:
+    assert all(stage.holder(duty) is not None for duty in range(SHARDS + 1))
+
+
 @then("the list has a holder")
 def has_holder(stage: Stage) -> None:
     assert stage.holder() is not None
