Name the doors of a client's region, not of its zone alone, in look-ups

Cause: a client asks the three nearest doors where to go.

Change: the answer holds the ready doors of the region.

Ruled out: doors of the other region too, whose bytes are dear and 20 ms away.

--- a/hive/desk.py
+++ b/hive/desk.py
@@ -32,7 +32,7 @@
 
     def ready(self) -> bool: ...
 
-    def lookup(self, zone: str, region: str) -> list[str]: ...
+    def lookup(self, region: str) -> list[str]: ...
 
     @property
     def lifetime(self) -> float: ...
@@ -109,9 +109,7 @@
                     else problem(503, "not_ready", "not ready", RETRY)
                 )
             case ("GET", ["-", "lookup"]) if "directory" in self.roles:
-                asked = parse_qs(query)
-                zone, region = asked.get("zone", [""])[0], asked.get("answerRegion", [""])[0]
-                addresses = door.lookup(zone, region)
+                addresses = door.lookup(parse_qs(query).get("answerRegion", [""])[0])
                 if addresses:
                     reply(answer(200, {"addresses": addresses, "lifetimeS": door.lifetime}))
                 else:
--- a/hive/door.py
+++ b/hive/door.py
@@ -44,6 +44,7 @@
 OTHER_FILES = 400  # descriptors for files, calls and messages
 REPORT = 2.0  # seconds between two lines on what was not served
 LINGER = 1.5  # seconds after SIGTERM in which clients that do not know yet still come
+MOST_ADDRESSES = 64  # that a client's answer may hold
 LAST = 0.5  # seconds before the end of the grace period at which this process ends
 
 Reply = Callable[[bool, str, bytes], None]
@@ -289,13 +290,11 @@
     def lifetime(self) -> float:
         return min(2.0, self.settings.lifetime)
 
-    def lookup(self, zone: str, region: str) -> list[str]:
-        """Doors for a client: those of its zone, of its region where fewer than two are ready, else all."""
-        peers = self.core.peers
-        found = peers.doors(zone=zone)
-        if len(found) < 2:
-            found = peers.doors(region=region) or peers.doors()
-        return [f"{ip}:{self.settings.front.port}" for ip in found[:64]]
+    def lookup(self, region: str) -> list[str]:
+        """Doors for a client of a region."""
+        return [
+            f"{ip}:{self.settings.front.port}" for ip in self.core.peers.for_clients(region)[:MOST_ADDRESSES]
+        ]
 
     def status(self) -> dict[str, Any]:
         now, core = self.loop.time(), self.core
--- a/swarm/peers.py
+++ b/swarm/peers.py
@@ -166,3 +166,9 @@
             for row in self.roster
             if row[5] and (zone is None or row[1] == zone) and (region is None or row[2] == region)
         ]
+
+    def for_clients(self, region: str) -> list[str]:
+        """Doors that a client may be sent to: those of its region, so that it still has some when its zone is lost
+        and with it the doors that it would ask anew; all where fewer than two are ready there."""
+        found = self.doors(region=region)
+        return found if len(found) > 1 else self.doors()
--- a/tests/scenarios/swarm.feature
+++ b/tests/scenarios/swarm.feature
@@ -104,3 +104,11 @@
     And 2 seconds pass
     Then configuration 6 is acknowledged
     And every door uses configuration 6
+
+  Scenario: Clients know doors outside their zone, and outside their region only where it has none to choose from
+    Given 4 core doors and 7 others
+    And configuration 5 is everywhere
+    Then door 9 sends clients of the east to doors of 2 zones
+    When doors 2, 4, 6 and 8 are killed
+    And 7 seconds pass
+    Then door 9 sends clients of the east to doors of 3 zones
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -93,6 +93,12 @@
     stage.world.kill(f"d{door}")
 
 
+@when(parsers.re(r"doors (?P<which>[\d, and]+) are killed"))
+def kill_all(stage: Stage, which: str) -> None:
+    for name in stage.names(which):
+        stage.world.kill(name)
+
+
 @when(parsers.parse("door {door:d} loses its disk"))
 def wipe(stage: Stage, door: int) -> None:
     stage.world.wipe(f"d{door}")
@@ -305,6 +311,15 @@
     assert all(stage.holder(duty) is not None for duty in range(SHARDS + 1))
 
 
+@then(parsers.parse("door {door:d} sends clients of the {region} to doors of {count:d} zones"))
+def sends(stage: Stage, door: int, region: str, count: int) -> None:
+    core = stage.world.doors[f"d{door}"].core
+    assert core is not None
+    found = [stage.world.doors[ip].about for ip in core.peers.for_clients(region)]
+    assert len({about.zone for about in found}) == count
+    assert count > 2 or {about.region for about in found} == {region}
+
+
 @then("the list has a holder")
 def has_holder(stage: Stage) -> None:
     assert stage.holder() is not None
