--- a/orchidhill/__init__.py
+++ b/orchidhill/__init__.py
@@ -1,5 +1,1 @@
-"""orchidhill: the decisions of an admission gateway for a service sold by plan."""
-
-from orchidhill.gateway import Gateway
-
-__all__ = ["Gateway"]
+"""orchidhill: the decisions of an admission gateway for a service sold by plan; `orchidhill.gateway` is the way in."""
