--- a/hive/__main__.py
+++ b/hive/__main__.py
@@ -1,10 +1,92 @@
-"""Starts the program, without what it never uses: nothing here speaks TLS, whose module costs memory and start."""
+"""The program that runs on every machine: start, signals, end."""
 
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import os
+import signal
 import sys
+from collections.abc import Callable, Sequence
 
-sys.modules["ssl"] = None  # type: ignore[assignment]  # as where Python is built without it; asyncio knows that
+import uvloop
 
-if __name__ == "__main__":
-    from hive.program import main
+from hive import log
+from hive.door import Door
+from hive.settings import Settings, SettingsError, load
+
+LOOK = 1.0  # seconds between looks whether the settings file has changed: what it may change is needed seldom
+
+
+class Watched:
+    """The settings file, which may change with a SIGHUP or without a word."""
+
+    def __init__(self, path: str, take: Callable[[Settings], None]) -> None:
+        self.path, self.take = path, take
+        self.seen = self.stamp()
+
+    def stamp(self) -> tuple[int, int]:
+        try:
+            found = os.stat(self.path)
+            return found.st_mtime_ns, found.st_size
+        except OSError:
+            return 0, 0
+
+    def look(self, asked: bool = False) -> None:
+        """Read it where it was changed; what cannot be used is said, and changes nothing."""
+        stamp = self.stamp()
+        if stamp == self.seen and not asked:
+            return
+        self.seen = stamp
+        try:
+            self.take(load(self.path))
+        except SettingsError as error:
+            log.log.say("hive", "new settings cannot be used", problem=error)
 
+    def keep_looking(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.look()
+        loop.call_later(LOOK, self.keep_looking, loop)
+
+
+async def serve(settings: Settings, path: str) -> None:
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    door = Door(settings)
+    watched = Watched(path, door.reload)
+    loop.add_signal_handler(signal.SIGHUP, watched.look, True)
+    await door.start()
+    watched.keep_looking(loop)
+    gc.collect()
+    gc.freeze()  # what lives as long as the process need not be looked at again
+    await stop.wait()
+    await door.drain()
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="hivedoor", description="A door of hazelspring, on any machine.")
+    calls = parser.add_subparsers(dest="call", required=True)
+    for name, text in (("door", "serve"), ("check", "say whether the settings file can be used")):
+        call = calls.add_parser(name, help=text)
+        path = os.environ.get("HAZELSPRING_SETTINGS")
+        call.add_argument("--settings", default=path, help="path of the settings file")
+    chosen = parser.parse_args(arguments)
+    if not chosen.settings:
+        parser.error("no settings file: name one, or set HAZELSPRING_SETTINGS")
+    try:
+        settings = load(chosen.settings)
+    except SettingsError as error:
+        print(f"hivedoor: {error.code}: {error}", file=sys.stderr)
+        return 2
+    if chosen.call == "check":
+        print(f"{chosen.settings}: can be used by {settings.name}")
+        return 0
+    log.start()
+    uvloop.run(serve(settings, chosen.settings))
+    return 0
+
+
+if __name__ == "__main__":
     sys.exit(main())
