Agree on the control state by ballots: one register for configuration, zones and members

Change: the whole control state (members, configuration by its sum, closed zones) is one value, decided by prepare and accept at a majority of the members' disks (comb/state.py, comb/register.py, queenless/orders.py, queenless/control.py). A state that was found accepted is brought to its end first. Members are part of the value: founded by the seeds that all doors are told alike, changed by a majority of the old and of the new (queenless/membership.py). A disk has a number of its own, so an emptied one is another disk without a seat. One number has one body: who loses gets 409. Rounds that meet wait for each other instead of outbidding. comb/copies.py, voices that were marked and the gossip of who the core is go. The file has format 2; an older one is put aside.

Tests: tests/world.py gains late, doubled and reordered messages, frozen and replaced doors, changed seeds and clocks set back, and checks that no two doors know two states of one version, that calls are settled in their order in time, and that one number is acknowledged for one body. Replaced by stricter ones: "both are acknowledged" (one is, the other is refused, and the first is acknowledged again at every door); an empty disk had its voice with two of the other three away, now it has its seat only by a majority of the old core, and reading still works then; a damaged row left the rest in use, now the disk counts as empty, as its promises are lost.

Ruled out: a register a key (members and configuration would need a copy of all keys at each change of members); a sequencer by lease (its loss stops the operator); outbidding with random pauses alone (rounds on slow disks met for 7 s).

--- /dev/null
+++ b/comb/state.py
@@ -0,0 +1,101 @@
+"""The control state as one value: members of the core, the configuration by its sum, closed zones; and majorities."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+Ballot = tuple[
+    int, int, str
+]  # a count, then the life and the address of its proposer: no two rounds share one
+NO_BALLOT: Ballot = (0, 0, "")
+NO_WORD = b""  # the digest before any configuration
+
+
+@dataclass(slots=True, frozen=True, order=True)
+class Member:
+    """A seat in the core: an address, and the disk that holds it, by a number drawn when that disk was empty.
+    Disk 0 is a seat of the founding: it belongs to whoever runs there since the first start of all."""
+
+    ip: str
+    zone: str = ""
+    region: str = ""
+    disk: int = 0
+
+
+Voters = Mapping[str, tuple[int, bool]]  # by address: the disk that answered, and whether it may found
+
+
+@dataclass(slots=True, frozen=True)
+class State:
+    """One version of all that the core agrees on.  `before` are the members of the version it follows: a change of
+    members is agreed by a majority of both.  `size` is how many members the core is meant to have."""
+
+    version: int
+    members: tuple[Member, ...]
+    before: tuple[Member, ...]
+    size: int = 0
+    number: int = -1  # of the configuration
+    digest: bytes = NO_WORD
+    closed: frozenset[str] = field(default_factory=frozenset)
+
+    def sets(self) -> list[tuple[Member, ...]]:
+        return [self.members] if self.before == self.members else [self.before, self.members]
+
+    def row(self) -> list[Any]:
+        members = [[m.ip, m.zone, m.region, m.disk] for m in self.members]
+        before = [[m.ip, m.zone, m.region, m.disk] for m in self.before] if self.before != self.members else 0
+        return [self.version, members, before, self.size, self.number, self.digest, sorted(self.closed)]
+
+    def seat(self, ip: str) -> Member | None:
+        return next((member for member in self.members if member.ip == ip), None)
+
+    def seated(self, ip: str, disk: int) -> bool:
+        return disk != 0 and (member := self.seat(ip)) is not None and member.disk == disk
+
+    def follow(self, **changes: Any) -> State:
+        """The version after this one."""
+        return replace(self, version=self.version + 1, before=self.members, **changes)
+
+
+def state_of(row: Iterable[Any]) -> State:
+    version, members, before, size, number, digest, closed = row
+    seats = tuple(Member(*member) for member in members)
+    old = tuple(Member(*member) for member in before) if before else seats
+    return State(version, seats, old, size, number, digest, frozenset(closed))
+
+
+def ballot_of(row: Iterable[Any]) -> Ballot:
+    count, life, ip = row
+    return (count, life, ip)
+
+
+def founding(seeds: Iterable[str]) -> State:
+    """What every door holds at the first start of all: the seeds, alike at all, agree on the first members."""
+    seats = tuple(sorted({Member(ip) for ip in seeds}))
+    return State(0, seats, seats)
+
+
+def majority(members: int) -> int:
+    """Disks that accept a state before it counts as decided."""
+    return members // 2 + 1
+
+
+def voices_needed(members: int) -> int:
+    """Members that together know of every decided state: with a majority they share one (docs/control.md)."""
+    return max(1, members - majority(members) + 1)
+
+
+def takes(member: Member, voter: tuple[int, bool]) -> bool:
+    """Whether an answer comes from the disk that holds a seat."""
+    disk, founder = voter
+    return founder if member.disk == 0 else member.disk == disk
+
+
+def have_majority(sets: Iterable[tuple[Member, ...]], voters: Voters) -> bool:
+    """Whether those who answered are a majority of each set of members."""
+    return all(
+        sum(m.ip in voters and takes(m, voters[m.ip]) for m in members) >= majority(len(members))
+        for members in sets
+    )
--- a/comb/store.py
+++ b/comb/store.py
@@ -1,4 +1,4 @@
-"""The operator's word on disk: one sqlite file, one row an item, written by one thread; each row knows its sum."""
+"""A door's records on disk: one sqlite file, one row a record, written by one thread; each row knows its sum."""
 
 from __future__ import annotations
 
@@ -6,17 +6,12 @@
 import os
 import sqlite3
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any
 
-from comb.copies import Item
-
-FORMAT = 1
-TABLES = """
-create table if not exists item (key text primary key, number integer, tie blob, body blob, sum blob);
-create table if not exists mark (name text primary key, body blob);
-"""
+FORMAT = 2  # 1 was one row an item of the operator's word, without an agreement
+TABLES = "create table if not exists record (name text primary key, body blob, sum blob);"
 
 
 class StoreError(Exception):
@@ -29,9 +24,8 @@
         self.step = step
 
 
-def row_sum(item: Item) -> bytes:
-    text = b"%s %d %s " % (item.key.encode(), item.stamp[0], item.stamp[1])
-    return hashlib.blake2b(text + item.blob, digest_size=16).digest()
+def row_sum(name: str, body: bytes) -> bytes:
+    return hashlib.blake2b(name.encode() + b"\0" + body, digest_size=16).digest()
 
 
 class Store:
@@ -60,8 +54,9 @@
                 (found,) = base.execute("pragma user_version").fetchone()
                 if found not in (0, FORMAT):
                     raise sqlite3.DatabaseError(f"format {found} is not known")
-                base.executescript(TABLES)
-                base.execute(f"pragma user_version={FORMAT}")
+                if found == 0:  # a file that stands is opened without a write: the disk may be full
+                    base.executescript(TABLES)
+                    base.execute(f"pragma user_version={FORMAT}")
                 if base.execute("pragma quick_check").fetchone() != ("ok",):
                     raise sqlite3.DatabaseError("damaged")
             except sqlite3.DatabaseError as error:
@@ -86,44 +81,41 @@
         finally:
             os.close(folder)
 
-    def load(self) -> tuple[list[Item], dict[str, bytes]]:
-        """All items and marks; an item whose sum is wrong is left out, and then no mark of a voice counts."""
+    def load(self) -> dict[str, bytes]:
+        """All records by name.  One whose sum is wrong makes the file useless, as what this door promised is not
+        known any more: it is put aside, and the disk counts as empty."""
         with self.lock:
             try:
-                base = self.open()
-                items, bad = [], False
-                for key, number, tie, body, found in base.execute(
-                    "select key, number, tie, body, sum from item"
-                ):
-                    item = Item(key, (number, tie), body)
-                    if row_sum(item) == found:
-                        items.append(item)
-                    else:
-                        bad = True
-                        self.aside.append(f"item {key}: its sum is wrong")
-                marks = dict(base.execute("select name, body from mark"))
-                if bad:
-                    marks.pop("voice", None)
-                return items, marks
+                rows = list(self.open().execute("select name, body, sum from record"))
+                for name, body, found in rows:
+                    if row_sum(name, body) != found:
+                        self.discard(f"record {name}: its sum is wrong")
+                        return {}
+                return {name: body for name, body, _ in rows}
             except (sqlite3.Error, OSError) as error:
                 raise StoreError("load", error) from error
 
-    def save(self, items: list[Item], marks: dict[str, bytes]) -> None:
-        """Put items and marks on disk; they are there once this returns.  An older item never replaces one."""
+    def discard(self, why: str) -> None:
+        """Put a file aside whose records are of no use, and begin an empty one."""
+        if self.base is not None:
+            self.base.close()
+            self.base = None
+        self.put_aside(why)
+        self.open()
+
+    def save(self, records: Mapping[str, bytes | None]) -> None:
+        """Put records on disk, or remove those that are None; all are there once this returns, or none."""
         with self.lock:
             try:
                 base = self.open()
                 base.execute("begin immediate")
                 try:
-                    for item in items:
-                        base.execute(
-                            "insert into item values (?, ?, ?, ?, ?) on conflict (key) do update set"
-                            " number = excluded.number, tie = excluded.tie, body = excluded.body,"
-                            " sum = excluded.sum where (excluded.number, excluded.tie) > (number, tie)",
-                            (item.key, item.stamp[0], item.stamp[1], item.blob, row_sum(item)),
-                        )
-                    for name, body in marks.items():
-                        base.execute("insert or replace into mark values (?, ?)", (name, body))
+                    for name, body in records.items():
+                        if body is None:
+                            base.execute("delete from record where name = ?", (name,))
+                        else:
+                            row = (name, body, row_sum(name, body))
+                            base.execute("insert or replace into record values (?, ?, ?)", row)
                     base.execute("commit")
                 except BaseException:
                     if base.in_transaction:
--- a/hive/desk.py
+++ b/hive/desk.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, Protocol, cast
 from urllib.parse import parse_qs
 
@@ -25,6 +26,16 @@
 Reply = Callable[[Answer], None]
 
 
+@dataclass(slots=True, frozen=True)
+class Settled:
+    """How an order ended: `conflict` where another body holds its number; `body` is what was read."""
+
+    good: bool
+    conflict: bool = False
+    why: str = ""
+    body: bytes = b""
+
+
 class Door(Protocol):
     """What the calls are about."""
 
@@ -37,11 +48,11 @@
     @property
     def lifetime(self) -> float: ...
 
-    def put(self, body: bytes, done: Callable[[bool, str, bytes], None]) -> None: ...
+    def put(self, body: bytes, done: Callable[[Settled], None]) -> None: ...
 
-    def read(self, done: Callable[[bool, str, bytes], None]) -> None: ...
+    def read(self, done: Callable[[Settled], None]) -> None: ...
 
-    def evacuate(self, zone: str, closed: bool, done: Callable[[bool, str, bytes], None]) -> None: ...
+    def evacuate(self, zone: str, closed: bool, done: Callable[[Settled], None]) -> None: ...
 
     def zone_known(self, zone: str) -> bool: ...
 
@@ -139,12 +150,14 @@
             return
         self.door.put(body, self.ending(reply))
 
-    def ending(self, reply: Reply, read: bool = False) -> Callable[[bool, str, bytes], None]:
-        def done(good: bool, why: str, body: bytes) -> None:
-            if not good:
-                reply(problem(503, "unsettled", why, RETRY))
+    def ending(self, reply: Reply, read: bool = False) -> Callable[[Settled], None]:
+        def done(settled: Settled) -> None:
+            if settled.conflict:
+                reply(problem(409, "number_taken", settled.why))
+            elif not settled.good:
+                reply(problem(503, "unsettled", settled.why, RETRY))
             elif read:
-                reply(Final(200, body, headers=JSON))
+                reply(Final(200, settled.body, headers=JSON))
             else:
                 reply(answer(200, {"acknowledged": True}))
 
--- a/queenless/beats.py
+++ b/queenless/beats.py
@@ -5,7 +5,7 @@
 import zlib
 from typing import Any
 
-from comb.copies import NEVER, Copies
+from queenless.control import Control
 from queenless.deeds import Message
 from swarm.duties import Duties
 from swarm.peers import About, Peer, Peers
@@ -19,16 +19,17 @@
 class Beats:
     """Makes the beats of one door, answers those of others, and notes what the answers tell."""
 
-    def __init__(self, peers: Peers, copies: Copies, duties: Duties, news: News, began: float) -> None:
-        self.peers, self.copies, self.duties, self.news, self.began = peers, copies, duties, news, began
+    def __init__(self, peers: Peers, control: Control, duties: Duties, news: News, began: float) -> None:
+        self.peers, self.control, self.duties, self.news, self.began = peers, control, duties, news, began
         self.first_sent: dict[str, float] = {}  # to whom a beat went that has never answered
 
     def state(self, now: float) -> dict[str, Any]:
         """What others want to know of this door, and what seldom changes."""
         told: dict[str, Any] = {"n": self.news.versions(), "m": {"doors": self.peers.most_doors}}
-        if self.peers.me.disk:
-            told["h"] = {key: list(stamp) for key, stamp in self.copies.kept.items()}
+        told["h"] = dict(zip(("v", "p"), self.control.held(), strict=True))
+        if self.control.seated():
             told["d"] = self.duties.told(now)
+            told["q"] = self.control.silent(now)
         return told
 
     @staticmethod
@@ -56,7 +57,7 @@
         message["x"] = peer.state_sum if peer is not None else 0
         if peer is None or not peer.knows_me:
             message["a"] = me.row()
-        if me.disk:
+        if self.control.seated() or (not self.peers.seated and me.disk):
             message["w"] = wants
             if now < self.duties.granter.silent_until:
                 message["q"] = 1
@@ -73,21 +74,24 @@
                 return about
         return None
 
-    def answer(self, now: float, about: About | None, message: Message, voice: bool) -> Message:
+    def answer(self, now: float, about: About | None, message: Message) -> Message:
         """The echo to a beat; the beat's sender is asked who it is where that is not known."""
         me = self.peers.me
-        echo: Message = {"k": "echo", "l": me.life, "t": message["t"], "v": voice}
+        echo: Message = {"k": "echo", "l": me.life, "t": message["t"]}
         if "a" in message or now - self.began < YOUNG:
             echo["a"] = me.row()
         if about is None:
             echo["y"] = 1
             return echo
-        if me.disk:
+        seated = self.control.seated()
+        if seated:
             if "q" in message:
                 echo["p"] = self.duties.counts_on(now, (about.ip, about.life))
             who = (about.ip, about.life)
             wants, asked = message.get("w", []), message["t"]
             self.duties.granter.unasked(who, wants, asked)
+            if not self.may_grant(message["c"]):
+                wants = []
             granted = [duty for duty in wants if self.duties.granter.ask(now, str(duty), who, asked)]
             if granted:
                 echo["g"] = granted
@@ -96,14 +100,21 @@
             echo["z"] = state
         if message["c"] != self.peers.core_sum():
             echo["c"] = [member.row() for member in self.peers.core.values()]
-        if "s" in message and me.disk and message["s"] != self.peers.roster_sum:
+        if "s" in message and (seated or not self.peers.seated) and message["s"] != self.peers.roster_sum:
             echo["s"] = self.peers.roster
         return echo
 
+    def may_grant(self, core_sum: int) -> bool:
+        """Whether a member may promise a duty to one that names this core: not while its members are changing, as
+        majorities of two cores that follow each other but one need not meet."""
+        pending, state = self.control.register.pending, self.control.state
+        moving = pending is not None and state is not None and pending.members != state.members
+        return core_sum == self.peers.core_sum() and not moving
+
     def take(self, now: float, about: About, message: Message) -> Peer:
         """What an echo tells of its sender."""
         peer = self.peers.peer(about)
-        peer.heard_at, peer.voice = now, message["v"]
+        peer.heard_at = now
         peer.asked_at = max(peer.asked_at, message["t"])
         peer.knows_me = "y" not in message
         if not peer.knows_me:
@@ -113,8 +124,8 @@
             peer.state_sum = self.sum_of(state)
             self.peers.most_doors = max(self.peers.most_doors, state["m"]["doors"])
             peer.news, peer.holders = state["n"], state.get("d", {})
-            for key, stamp in state.get("h", {}).items():
-                peer.stamps[key] = max((stamp[0], stamp[1]), peer.stamps.get(key, NEVER))
+            peer.held = (state["h"]["v"], state["h"]["p"])
+            peer.silent = frozenset(state.get("q", ()))
         for duty in message.get("g", ()):
             self.duties.granted(duty, about.ip, message["t"], about.life)
         if "s" in message and message["s"] != self.peers.roster:
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -1,23 +1,24 @@
-"""One door's core: beats, the operator's word, duties and news.  Messages and times in, messages and deeds out."""
+"""One door's core: beats, the control state, duties and news.  Messages and times in, messages and deeds out."""
 
 from __future__ import annotations
 
 import json
 import zlib
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
-from typing import Any
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+import cbor2
 
-from comb.copies import NEVER, WORD, Copies, Item, voices_needed
 from comb.word import digest, number_of
 from nectar.counter import Counter
 from nectar.credits import Granted, Lapsed
 from queenless.beats import NEAR_BEAT, Beats
-from queenless.deeds import Changed, Danced, Deed, Mark, Message, Poll, Send
+from queenless.control import ASK_AGAIN, Control
+from queenless.deeds import Danced, Deed, Message, Poll, Send
 from queenless.herald import Herald
-from queenless.orders import Copy, Order, Orders
+from queenless.orders import Order
 from swarm.duties import Duties
-from swarm.peers import About, Peers
+from swarm.peers import TERM, About, Peers
 from swarm.rendezvous import shard
 from waggle.news import Server
 
@@ -25,160 +26,128 @@
 SHARDS = 8  # of tenants; fixed, as two doors that differ in it would both own a tenant
 POLL = 0.5  # seconds between looks at the platform's list
 BARE = 0.15  # seconds without any table, as none else has one, after which a core door asks for itself
-ASK_AGAIN = 0.3  # seconds until what was asked for is asked for again, of another door
-QUIET = 1.5  # seconds without a new core door, at the first start, before the core counts as known
+DOORS = "mark doors"  # the record of how many doors there ever were
 
 
 @dataclass(slots=True)
 class Start:
-    """What a door knows at its start."""
+    """What a door knows at its start.  The number of its disk in `about` is that of an empty one: what the records
+    say goes before it."""
 
     about: About
     seeds: list[str]
     first: bool  # the whole system starts for the first time
-    kept: list[Item] = field(default_factory=list)
-    voice: bool = False  # a mark on disk says so
-    core: list[list[Any]] = field(default_factory=list)  # as a mark on disk says
-    doors: int = 0  # the most there were, as a mark on disk says
+    records: dict[str, bytes] = field(default_factory=dict)  # what is on disk
 
 
 class Core:
     """`limit` gives a tenant's limit for one window, as the configuration at hand has it."""
 
     def __init__(self, now: float, start: Start, window: float, limit: Callable[[str], float]) -> None:
-        self.me, self.seeds, self.first, self.began = start.about, start.seeds, start.first, now
-        self.peers = Peers(start.about, now)
-        self.copies = Copies(start.about.disk, start.kept)
-        self.voice = start.about.disk and (start.first or start.voice)
-        self.marked = start.voice
-        self.told_core = bool(start.core)  # who the core is was on disk, or a voice of it has told
-        for row in start.core:
-            self.peers.meet(now - QUIET, About(*row))
-        self.peers.most_doors = self.marked_doors = start.doors
-        self.orders = Orders(self.peers, self.copies)
+        me = start.about
+        if me.disk and "disk" in start.records:
+            me = replace(me, disk=cbor2.loads(start.records["disk"])[0])
+        self.me, self.seeds, self.first, self.began = me, start.seeds, start.first, now
+        self.peers = Peers(me, now)
+        self.control = Control(now, self.peers, start.records, start.first, start.seeds)
+        self.peers.most_doors = self.marked_doors = int(start.records.get(DOORS, b"0"))
         self.duties = Duties(self.peers, now, start.first, SHARDS + 1)
         self.counter, self.limit = Counter(window), limit
         self.herald = Herald(self.peers)
         self.news = self.herald.news
-        self.beats = Beats(self.peers, self.copies, self.duties, self.news, now)
+        self.beats = Beats(self.peers, self.control, self.duties, self.news, now)
         self.ready = False
         self.polled_at, self.polling = -1e9, False
         self.asked: dict[str, tuple[float, int]] = {}  # what was asked for, when, and how often
-        self.owed: dict[str, list[tuple[str, Item]]] = {}  # who waits for an item to be on this disk
+        self.was_seated = self.control.seated()
         self.deeds: list[Deed] = []
 
     # --- what others of this process ask ---------------------------------------------------------------
 
-    def settled(self, now: float) -> bool:
-        """Whether the core is known; at the first start doors with a disk are still being met."""
-        return self.told_core or (self.first and now - max(self.peers.grown_at, self.began) > QUIET)
+    def settled(self) -> bool:
+        """Whether the core is agreed on, as far as this door knows."""
+        return self.control.state is not None
 
     def fresh_at(self, now: float) -> float:
         """Every change acknowledged up to then is seen here."""
-        times = sorted(self.peers.voices(self.copies.stamps()), reverse=True)
-        if self.voice:
-            times.insert(0, now)
-        needed = voices_needed(len(self.peers.core))
-        return times[needed - 1] if len(times) >= needed and self.copies.seen else -1e9
+        return self.control.fresh_at(now)
 
     def put(self, now: float, token: int, body: bytes) -> list[Deed]:
         """An operator's configuration that `comb.check` has let pass."""
         number = number_of(json.loads(body)["versionNumber"])
-        item = Item(WORD, (number, digest(body)), zlib.compress(body, 6))
-        return self.order(now, Order(token, now, wanted=item))
+        order = Order(token, now, "put", number=number, digest=digest(body), word=zlib.compress(body, 6))
+        return self.order(now, order)
 
     def evacuate(self, now: float, token: int, zone: str, closed: bool) -> list[Deed]:
-        return self.order(now, Order(token, now, zone=zone, closed=closed))
+        return self.order(now, Order(token, now, "evacuate", zone=zone, closed=closed))
 
     def read(self, now: float, token: int) -> list[Deed]:
-        return self.order(now, Order(token, now))
+        return self.order(now, Order(token, now, "read"))
 
     def order(self, now: float, order: Order) -> list[Deed]:
         self.deeds = []
-        self.orders.begin(order)
         for ip in self.peers.others():
             self.beat(now, ip)
-        self.advance(now)
+        self.deeds += self.control.begin(now, order)
+        self.look(now)
         return self.deeds
 
     # --- time -----------------------------------------------------------------------------------------
 
     def tick(self, now: float) -> list[Deed]:
         self.deeds = []
-        self.deeds += self.copies.unsaved()
         enough = now - self.fresh_at(now) < 2 * NEAR_BEAT
         before = self.duties.asking
-        anew = self.duties.asks(now, self.settled(now)) != before
+        anew = self.duties.asks(now, self.settled() and self.member()) != before
         for ip in self.peers.others():
             if anew or self.beats.due(now, ip, enough):
                 self.beat(now, ip)
         heard = any(self.peers.alive(now, ip) for ip in self.peers.others())
-        if not heard or (self.first and not self.settled(now)):
+        if not heard or (self.first and not self.settled()):
             for ip in self.seeds:
                 known = ip == self.me.ip or ip in self.peers.core
                 if not known and now - self.beats.sent_at(ip) >= NEAR_BEAT - 0.01:
                     self.beat(now, ip)
         self.duties_on(now)
-        if self.me.disk:
+        if self.member():
             self.peers.note(now, self.me, self.ready)
             self.peers.make_roster(now)
             self.counter.sweep(now)
         self.mend(now)
-        self.speak_up()
-        self.advance(now)
+        if self.me.disk and self.peers.most_doors > self.marked_doors:
+            self.marked_doors = self.peers.most_doors
+            self.control.mark(DOORS, str(self.marked_doors).encode())
+        self.deeds += self.control.tick(now)
+        self.look(now)
         return self.deeds
 
-    def beat(self, now: float, ip: str) -> None:
-        wants = self.duties.asks(now, self.settled(now))
-        self.deeds.append(Send(ip, self.beats.beat(now, ip, self.ready and not self.duties.left, wants)))
+    def member(self) -> bool:
+        """Whether this door is one of the core, or may become one of the first."""
+        return bool(self.me.disk) and (self.control.seated() or not self.peers.seated)
 
-    def speak_up(self) -> None:
-        """An empty disk's voice counts once it holds all that enough voices have told."""
-        if not self.me.disk:
-            return
-        if not self.voice and len(self.peers.core) > 1:
-            needed = voices_needed(len(self.peers.core))
-            self.voice = self.peers.told(self.began, self.copies.kept) >= needed
-        if self.peers.most_doors > self.marked_doors:
-            self.marked_doors = self.peers.most_doors
-            self.deeds.append(Mark("doors", str(self.marked_doors).encode()))
-        if self.voice and not self.marked:
-            self.marked = True
-            self.deeds.append(Mark("voice", b"1"))
+    def look(self, now: float) -> None:
+        """See whether this door's seat has changed: one that is new promises nothing for a term."""
+        seated = self.control.seated()
+        if seated and not self.was_seated and not self.first:
+            self.duties.granter.silent_until = max(self.duties.granter.silent_until, now + TERM)
+        self.was_seated = seated
 
-    def advance(self, now: float) -> None:
-        if not self.orders.open:
-            return
-        for action in self.orders.step(now, self.voice, self.settled(now)):
-            if isinstance(action, Copy):
-                self.deeds.append(Send(action.to, {"k": "keep", "i": self.pack(action.item)}))
-            else:
-                self.deeds.append(action)
-        for order in self.orders.open.values():
-            if order.target is not None and self.me.disk:
-                self.take(order.target, elsewhere=False)
+    def beat(self, now: float, ip: str) -> None:
+        wants = self.duties.asks(now, self.settled() and self.member())
+        self.deeds.append(Send(ip, self.beats.beat(now, ip, self.ready and not self.duties.left, wants)))
 
     def mend(self, now: float) -> None:
-        """Ask for what others told of and this door lacks."""
+        """Ask for news of servers that others told of and this door lacks."""
         for ip in self.peers.core:
             peer = self.peers.peers.get(ip)
             if peer is None or ip == self.me.ip:
                 continue
-            for key, stamp in peer.stamps.items():
-                if stamp > self.copies.stamp(key):
-                    self.ask(now, key, stamp)
             for service in self.news.newer(peer.news):
                 self.ask_news(now, service, peer.news[service])
 
-    def ask(self, now: float, key: str, stamp: tuple[int, bytes]) -> None:
-        if key == WORD and self.copies.saving.get(key, NEVER) >= stamp and self.me.disk:
-            return  # it is on its way to this disk
-        has = self.peers.others_where(lambda peer: peer.stamps.get(key, NEVER) >= stamp)
-        self.ask_one(now, f"item {key}", has, {"k": "want", "i": key})
-
     def ask_news(self, now: float, service: str, version: int) -> None:
         has = self.peers.others_where(lambda peer: peer.news.get(service, 0) >= version)
-        self.ask_one(now, f"news {service}", has, {"k": "want", "s": service})
+        self.ask_one(now, f"news {service}", has, {"k": "ask", "s": service})
 
     def ask_one(self, now: float, what: str, have: list[str], message: Message) -> None:
         """Ask the nearest that has it; one that did not answer in time, and the next one, in turn."""
@@ -192,9 +161,9 @@
 
     def duties_on(self, now: float) -> None:
         """Renew what this door holds, take what nobody does, and do the first of them: ask the platform."""
-        if not self.me.disk:
+        if not self.member():
             return
-        if self.settled(now):
+        if self.settled():
             self.duties.recall(now)
             self.duties.renew(now)
         young = now - self.began <= BARE and self.duties.until(LIST) <= now
@@ -209,6 +178,7 @@
     def drain(self, now: float) -> list[Deed]:
         """This door leaves in order: its duties go to others at once."""
         self.deeds = []
+        self.control.members.leaving = True
         message = {"k": "free", "a": self.me.row(), "d": self.duties.leave(now)}
         self.deeds += [Send(ip, message) for ip in self.peers.others()]
         return self.deeds
@@ -258,22 +228,17 @@
         """A message from another door; one that is malformed raises, and changes at most soft state."""
         self.deeds = []
         match message["k"]:
+            case "prepare" | "promise" | "accept" | "accepted" | "no" | "over" | "lack" | "want" | "decided":
+                self.deeds += self.control.heard(now, source, message)
+                self.look(now)
+                return self.deeds
             case "beat":
                 self.on_beat(now, source, message)
             case "echo":
                 self.on_echo(now, source, message)
-            case "keep":
-                self.on_keep(source, self.unpack(message["i"]))
-            case "kept":
-                peer = self.peers.peers.get(source)
-                if peer is not None:
-                    key, stamp = message["i"], (message["n"][0], message["n"][1])
-                    peer.stamps[key] = max(stamp, peer.stamps.get(key, NEVER))
-            case "want":
-                self.on_want(now, source, message)
-            case "item":
-                self.take(self.unpack(message["i"]), elsewhere=True)
-                self.asked.pop(f"item {message['i'][0]}", None)
+            case "ask":
+                if message["s"] in self.news.tables:
+                    self.deeds.append(Send(source, {"k": "news", "n": self.news.pack(now, message["s"])}))
             case "news":
                 self.deeds += self.herald.take(now, message["n"])
                 self.asked.pop(f"news {message['n'][0]}", None)
@@ -290,8 +255,7 @@
             case "lost":
                 self.deeds.append(Lapsed(message["n"]))
         self.mend(now)
-        self.speak_up()
-        self.advance(now)
+        self.deeds += self.control.proceed(now)
         return self.deeds
 
     def on_beat(self, now: float, source: str, message: Message) -> None:
@@ -299,9 +263,9 @@
         if about is not None:
             if self.peers.stale(now, about):
                 return
-            self.meet(now, about)
+            self.peers.meet(now, about)
             self.peers.note(now, about, message["r"])
-        self.deeds.append(Send(source, self.beats.answer(now, about, message, self.voice)))
+        self.deeds.append(Send(source, self.beats.answer(now, about, message)))
 
     def on_echo(self, now: float, source: str, message: Message) -> None:
         about = self.beats.who(source, message)
@@ -311,26 +275,11 @@
             return
         if self.peers.stale(now, about) or message["t"] < self.began:
             return
-        self.meet(now, about)
+        self.peers.meet(now, about)
         if not self.beats.take(now, about, message).knows_me:
             self.beat(now, source)
         for row in message.get("c", ()):
-            self.meet(now, About(*row))
-        if message["v"] and not self.first:
-            self.told_core = True
-
-    def meet(self, now: float, about: About) -> None:
-        if self.peers.meet(now, about) and self.me.disk:
-            rows = [member.row() for member in self.peers.core.values()]
-            self.deeds.append(Mark("core", json.dumps(rows).encode()))
-
-    def on_want(self, now: float, source: str, message: Message) -> None:
-        if "i" in message:
-            item = self.copies.seen.get(message["i"])
-            if item is not None and (not self.me.disk or self.copies.kept.get(item.key, NEVER) >= item.stamp):
-                self.deeds.append(Send(source, {"k": "item", "i": self.pack(item)}))
-        elif message["s"] in self.news.tables:
-            self.deeds.append(Send(source, {"k": "news", "n": self.news.pack(now, message["s"])}))
+            self.peers.meet(now, About(*row))
 
     def on_lease(self, now: float, source: str, message: Message) -> None:
         granted = self.count(now, message["n"], message["q"], message["u"])
@@ -347,46 +296,10 @@
             }
             self.deeds.append(Send(source, answer))
 
-    # --- copies -----------------------------------------------------------------------------------------
+    # --- the disk -----------------------------------------------------------------------------------------
 
-    def on_keep(self, source: str, item: Item) -> None:
-        if self.copies.kept.get(item.key, NEVER) >= item.stamp:
-            self.tell_kept(source, item.key)
-            return
-        self.owed.setdefault(item.key, []).append((source, item))
-        del self.owed[item.key][:-16]
-        self.take(item, elsewhere=False)
-
-    def tell_kept(self, to: str, key: str) -> None:
-        self.deeds.append(Send(to, {"k": "kept", "i": key, "n": list(self.copies.kept[key])}))
-
-    def take(self, item: Item, elsewhere: bool) -> None:
-        new, save = self.copies.offer(item, elsewhere)
-        if save is not None:
-            self.deeds.append(save)
-        if new:
-            self.deeds.append(Changed(item.key))
-
-    def saved(self, now: float, item: Item, good: bool) -> list[Deed]:
+    def saved(self, now: float, serial: int, good: bool) -> list[Deed]:
         """A save has ended."""
-        self.deeds = []
-        if self.copies.saved(item, good):
-            self.deeds.append(Changed(item.key))
-        if good:
-            waiting = self.owed.pop(item.key, [])
-            for source, wanted in waiting:
-                if self.copies.kept[item.key] >= wanted.stamp:
-                    self.tell_kept(source, item.key)
-                else:
-                    self.owed.setdefault(item.key, []).append((source, wanted))
-        self.advance(now)
+        self.deeds = self.control.saved(now, serial, good)
+        self.look(now)
         return self.deeds
-
-    @staticmethod
-    def pack(item: Item) -> list[Any]:
-        return [item.key, item.stamp[0], item.stamp[1], item.blob]
-
-    @staticmethod
-    def unpack(row: Iterable[Any]) -> Item:
-        key, number, tie, blob = row
-        return Item(key, (number, tie), blob)
--- a/queenless/deeds.py
+++ b/queenless/deeds.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-from comb.copies import Save
 from nectar.credits import Granted, Lapsed
 from queenless.orders import Done
 
@@ -19,11 +18,11 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Mark:
-    """A mark to be put on disk."""
+class Save:
+    """Records to be put on disk, all or none; None is to be removed.  `Core.saved` wants to hear of it."""
 
-    name: str
-    body: bytes
+    serial: int
+    records: dict[str, bytes | None]
 
 
 @dataclass(slots=True, frozen=True)
@@ -46,4 +45,4 @@
     outs: dict[str, int]
 
 
-Deed = Send | Save | Mark | Poll | Done | Changed | Granted | Lapsed | Danced
+Deed = Send | Save | Poll | Done | Changed | Granted | Lapsed | Danced
--- a/swarm/duties.py
+++ b/swarm/duties.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from swarm.peers import TERM, Peers
@@ -84,9 +85,10 @@
         asked, life = self.yes.get(who[0], (-1e9, who[1]))
         return life != who[1] and now < asked + TERM
 
-    def until(self, needed: int) -> float:
-        """When a majority's grants end for the holder; in the past where there is none."""
-        asked = sorted((asked for asked, _ in self.yes.values()), reverse=True)
+    def until(self, core: Collection[str]) -> float:
+        """When the grants of a majority of the core end for the holder; in the past where there is none."""
+        asked = sorted((asked for ip, (asked, _) in self.yes.items() if ip in core), reverse=True)
+        needed = len(core) // 2 + 1
         if len(asked) < needed:
             return 0.0
         return asked[needed - 1] + TERM * SHORT - MARGIN
@@ -108,7 +110,7 @@
     def until(self, duty: int) -> float:
         """Until when this door may do a duty; in the past where it may not."""
         hold = self.holds.get(duty)
-        return hold.until(len(self.peers.core) // 2 + 1) if hold is not None else 0.0
+        return hold.until(self.peers.core) if hold is not None else 0.0
 
     def holder(self, now: float, duty: int) -> str | None:
         """Who holds a duty, as the core tells; the one of whom most say so."""
@@ -134,7 +136,7 @@
         """Duties that this door does, or would do: those without a holder that is alive, if it is first in line."""
         if self.left or not self.peers.me.disk:
             return []
-        alive = [ip for ip in self.peers.core if self.peers.alive(now, ip) and not self.peers.leaving(ip)]
+        alive = [ip for ip in self.peers.core if self.may_hold(now, ip)]
         enough = len(alive) > len(self.peers.core) // 2  # with fewer, who is first in line is not known
         found = []
         for duty in range(self.count):
@@ -147,6 +149,10 @@
                 found.append(duty)
         return found
 
+    def may_hold(self, now: float, ip: str) -> bool:
+        """Whether a door of the core can take a duty: it answers, its seat is its own, and it isn't leaving."""
+        return self.peers.alive(now, ip) and self.peers.sits(ip) and not self.peers.leaving(ip)
+
     def asks(self, now: float, settled: bool) -> list[int]:
         """What a beat that goes out now asks for.  On a promise of what it leaves out this door counts no more, so
         whoever promised it is free: what two doors wanted at once is held up by a beat, not by a term."""
--- a/swarm/peers.py
+++ b/swarm/peers.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
-from comb.copies import NEVER
-from comb.word import Stamp
+from comb.state import Member
 
 TERM = 2.0  # seconds of a grant of a duty: five beats of the core
 SILENT = 1.3  # seconds without an answer after which a door counts as away: three beats lost and a round trip
@@ -18,12 +17,12 @@
 
 @dataclass(slots=True, frozen=True)
 class About:
-    """A door: address, place, whether it has a disk, and its life, drawn anew at each start."""
+    """A door: address, place, the number of its disk (0: it has none), and its life, drawn anew at each start."""
 
     ip: str
     zone: str
     region: str
-    disk: bool
+    disk: int
     life: int
 
     def row(self) -> list[Any]:
@@ -41,9 +40,9 @@
     counts_on: list[int] | None = None  # duties for which it counts on a promise of this door's last life
     knows_me: bool = False  # it need not be told again who this door is
     state_sum: int = 0  # of what it told of itself
-    voice: bool = False
+    held: tuple[int, int] | None = None  # the version in force there, and the one that may be (-1: none)
+    silent: frozenset[str] = frozenset()  # members that it takes for silent
     leaving: bool = False  # it takes no duty any more
-    stamps: dict[str, Stamp] = field(default_factory=dict)
     news: dict[str, int] = field(default_factory=dict)
     holders: dict[str, str] = field(default_factory=dict)
 
@@ -62,6 +61,8 @@
         self.me = me
         self.core: dict[str, About] = {me.ip: me} if me.disk else {}
         self.grown_at = now
+        self.seated = False  # the members of the core are agreed on, and not those met by chance,
+        self.seats: tuple[Member, ...] = ()  # and these they are
         self.peers: dict[str, Peer] = {}
         self.rows: dict[str, Row] = {}  # a core door's own roster, from the beats it gets
         self.roster: list[list[Any]] = []  # as last heard or made: about, ready
@@ -86,20 +87,43 @@
         known = self.peers.get(about.ip)
         return known is not None and about.life < known.about.life and now - known.heard_at < TERM
 
-    def meet(self, now: float, about: About) -> bool:
-        """A door that was named; whether the core has grown by it."""
+    def meet(self, now: float, about: About) -> None:
+        """A door that was named.  Before the core is agreed on, all that have a disk are asked who it is."""
         known = self.core.get(about.ip)
-        if not about.disk:
-            return False
-        if known is None or known.life != about.life:
+        if not about.disk or (known is None and self.seated):
+            return
+        if known is None or known.life < about.life:
             self.core[about.ip] = about
         if known is None:
             self.grown_at = now
-        return known is None
+
+    def seat(self, members: tuple[Member, ...]) -> None:
+        """The core is agreed on: its members, whose lives are learnt as they are met."""
+        self.seated, self.seats = True, members
+        known = dict(self.core.items())
+        known |= {ip: peer.about for ip, peer in self.peers.items()}
+        self.core = {}
+        for member in members:
+            about = known.get(member.ip) or (row.about if (row := self.rows.get(member.ip)) else None)
+            if member.ip == self.me.ip:
+                about = self.me
+            self.core[member.ip] = about or About(member.ip, member.zone, member.region, member.disk, 0)
 
     def core_sum(self) -> int:
         """What two doors compare to see whether they know the same core."""
-        return zlib.crc32(" ".join(sorted(self.core)).encode())
+        return zlib.crc32(" ".join(f"{m.ip}/{m.disk}" for m in self.seats or self.met()).encode())
+
+    def met(self) -> list[Member]:
+        """Doors with a disk that were met, in a settled order."""
+        return sorted(Member(a.ip, a.zone, a.region, a.disk) for a in self.core.values() if a.disk)
+
+    def sits(self, ip: str) -> bool:
+        """Whether the disk that is at an address now holds its seat in the core."""
+        if not self.seated:
+            return True
+        peer = self.peers.get(ip)
+        disk = self.me.disk if ip == self.me.ip else peer.about.disk if peer is not None else 0
+        return any(member.ip == ip and member.disk == disk for member in self.seats)
 
     def others(self) -> list[str]:
         """The core without this door, the near ones first."""
@@ -121,18 +145,28 @@
         peer = self.peers.get(ip)
         return peer is not None and peer.leaving
 
-    def voices(self, seen: dict[str, Stamp]) -> list[float]:
-        """Of each voice that told nothing above the stamps: when the last beat that it answered was sent."""
-        known = [self.peers[ip] for ip in self.core if ip in self.peers]
-        return [
-            peer.asked_at
-            for peer in known
-            if peer.voice and all(stamp <= seen.get(key, NEVER) for key, stamp in peer.stamps.items())
-        ]
+    def voices(self, members: Iterable[Member], version: int) -> list[float]:
+        """Of each member, this door aside, that told of nothing above a version, from the disk that is seated:
+        when the last beat that it answered was sent."""
+        found = []
+        for member in members:
+            peer = self.peers.get(member.ip)
+            if peer is None or peer.about.disk != member.disk or peer.held is None:
+                continue
+            if max(peer.held) <= version:
+                found.append(peer.asked_at)
+        return found
 
-    def told(self, since: float, seen: dict[str, Stamp]) -> int:
-        """Voices that answered a beat sent at `since` or later, and told nothing above the stamps."""
-        return sum(asked_at >= since for asked_at in self.voices(seen))
+    def holding_above(self, version: int) -> list[str]:
+        """Doors that told of a newer state in force, the near ones first."""
+        has = [ip for ip, peer in self.peers.items() if peer.held is not None and peer.held[0] > version]
+        me = self.me
+        near = {ip: self.peers[ip].about for ip in has}
+        return sorted(has, key=lambda ip: ((near[ip].zone != me.zone) + (near[ip].region != me.region), ip))
+
+    def heard_at(self, ip: str) -> float:
+        peer = self.peers.get(ip)
+        return peer.heard_at if peer is not None else -1e9
 
     def note(self, now: float, about: About, ready: bool) -> None:
         """A beat has come: a row of the roster."""
