Do not take a disk that cannot be read for an empty one

Cause: a file that could not be opened at the start (a full disk, one in trouble) made the door begin an empty disk. With the agreement that is a lost seat: two doors that restart on full disks would have taken two votes away for good.

Change: such a door serves without a disk and looks again each second; once the file can be read it goes on as a new life with its own seat.

--- a/hive/door.py
+++ b/hive/door.py
@@ -46,6 +46,7 @@
 REPORT = 2.0  # seconds between two lines on what was not served
 LINGER = 1.5  # seconds after SIGTERM in which clients that do not know yet still come
 MOST_ADDRESSES = 64  # that a client's answer may hold
+DISK_AGAIN = 1.0  # seconds until a disk that could not be read is tried again
 LAST = 0.5  # seconds before the end of the grace period at which this process ends
 
 Reply = Callable[[Settled], None]
@@ -90,17 +91,10 @@
 
     async def start(self) -> None:
         settings = self.settings
-        records: dict[str, bytes] = {}
-        if self.store is not None:
-            try:
-                records = await self.loop.run_in_executor(self.disk, self.store.load)
-                for what in self.store.aside:
-                    log.say("comb", "put aside what could not be read", what=what)
-            except StoreError as error:
-                log.say("comb", "starts with an empty disk", error=error)
-        disk = self.life if self.store is not None else 0  # the number of the disk, if it is empty
-        about = About(settings.ip, settings.zone, settings.region, disk, self.life)
-        self.core = self.make_core(Start(about, list(settings.seeds), settings.first, records))
+        records = await self.read_disk()
+        self.core = self.make_core(records, settings.first)
+        if records is None:
+            self.task(self.await_disk())
         self.changed(WORD)
         self.changed(ZONES)
         await self.mesh.start()
@@ -110,22 +104,52 @@
             "hive",
             "started",
             name=settings.name,
-            disk=self.store is not None,
+            disk=bool(self.core.me.disk),
             first=settings.first,
             version=self.core.control.register.version,
         )
         self.tick()
 
-    def make_core(self, start: Start) -> Core:
-        """The core on what the disk held; on an empty disk where that cannot be read, as what it promised is lost."""
+    async def read_disk(self) -> dict[str, bytes] | None:
+        """What the disk holds; None where it does not say.  It is not taken for an empty one then."""
+        if self.store is None:
+            return {}
+        try:
+            records = await self.loop.run_in_executor(self.disk, self.store.load)
+        except StoreError as error:
+            log.say("comb", "cannot read the disk, goes on without it", error=error)
+            return None
+        while self.store.aside:
+            log.say("comb", "put aside what could not be read", what=self.store.aside.pop())
+        return records
+
+    async def await_disk(self) -> None:
+        """Take the disk up once it can be read, as a new life of this door: what this one promised was on no disk."""
+        records = None
+        while records is None:
+            await asyncio.sleep(DISK_AGAIN)
+            records = await self.read_disk()
+        for token in list(self.replies):
+            self.done(Done(token, False, "the disk was taken up"))
+        self.life += 1
+        self.core = self.make_core(records, False)
+        for what in (WORD, ZONES):
+            self.changed(what)
+        log.say("comb", "reads the disk again", version=self.core.control.register.version)
+
+    def make_core(self, records: dict[str, bytes] | None, first: bool) -> Core:
+        """The core on what the disk held; on an empty disk where that makes no sense, as what it promised is lost."""
+        settings = self.settings
+        disk = self.life if self.store is not None and records is not None else 0
+        about = About(settings.ip, settings.zone, settings.region, disk, self.life)
+        start = Start(about, list(settings.seeds), first, records or {})
         try:
-            return Core(self.loop.time(), start, self.settings.rule.quota.window, self.limit_of)
+            return Core(self.loop.time(), start, settings.rule.quota.window, self.limit_of)
         except (ValueError, cbor2.CBORDecodeError) as error:
             assert self.store is not None
             log.say("comb", "put aside what could not be read", what=error)
             self.store.discard(str(error))
-            start.records, start.first = {}, False
-            return Core(self.loop.time(), start, self.settings.rule.quota.window, self.limit_of)
+            return self.make_core({}, False)
 
     def limit_of(self, tenant: str) -> float:
         found = self.word.tenants.get(tenant) if self.word is not None else None
@@ -223,13 +247,15 @@
 
     async def save(self, save: Save) -> None:
         assert self.store is not None and self.disk is not None
+        core = self.core
         try:
             await self.loop.run_in_executor(self.disk, self.store.save, save.records)
             good = True
         except StoreError as error:
             log.say("comb", "could not save", records=",".join(save.records), error=error)
             good = False
-        self.carry_out(self.core.saved(self.loop.time(), save.serial, good))
+        if core is self.core:
+            self.carry_out(core.saved(self.loop.time(), save.serial, good))
 
     def changed(self, what: str) -> None:
         now = self.loop.time()
@@ -270,7 +296,9 @@
         self.order(lambda token: self.core.evacuate(self.loop.time(), token, zone, closed), done)
 
     def done(self, deed: Done) -> None:
-        reply = self.replies.pop(deed.token)
+        reply = self.replies.pop(deed.token, None)
+        if reply is None:
+            return
         if not deed.good:
             log.say(
                 "desk", "refused an order" if deed.conflict else "could not settle an order", why=deed.why
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -56,6 +56,22 @@
     yard.until(lambda: yard.ask(1, "GET", "/read/a", "after-wipe")[0] == 200)
 
 
+def test_a_disk_that_cannot_be_read_is_not_taken_for_an_empty_one(yard: Yard) -> None:
+    yard.until(lambda: status(yard, 1).get("member"))
+    before = status(yard, 1)["version"]
+    file = yard.folder / "door-2" / "comb.sqlite"
+    yard.kill(1)
+    file.rename(file.with_name("kept"))
+    file.mkdir()  # nothing can be opened there
+    yard.start(1)
+    yard.until(lambda: yard.ask(1, "GET", "/read/a", "without-disk")[0] == 200)
+    assert not status(yard, 1)["member"]
+    file.rmdir()
+    file.with_name("kept").rename(file)
+    yard.until(lambda: status(yard, 1).get("member"))
+    assert status(yard, 1)["version"] == before  # its seat is its own still: nothing had to be agreed on
+
+
 def test_all_processes_are_killed_at_once_and_nothing_is_lost(yard: Yard) -> None:
     order(yard.controls(), "PUT", "/-/configuration", configuration(9))
     order(yard.controls(), "POST", "/-/evacuation/south-1")
