Let an operator take a core door out that has no successor: keeper retire

Need: a member that is lost for good leaves by itself only once another disk has taken its place. Where none comes, the core keeps its size and bears one loss less; the issue asks for an order.

Change: DELETE /-/core/ADDRESS, agreed on like any change of members; the core is then meant to be one smaller. keeper retire sends it; status names core doors that do not answer.

Measured: of four with one lost, retired, a second loss leaves the operator able to order (test).

--- a/hive/desk.py
+++ b/hive/desk.py
@@ -54,6 +54,8 @@
 
     def evacuate(self, zone: str, closed: bool, done: Callable[[Settled], None]) -> None: ...
 
+    def retire(self, ip: str, done: Callable[[Settled], None]) -> None: ...
+
     def zone_known(self, zone: str) -> bool: ...
 
     def status(self) -> dict[str, Any]: ...
@@ -136,7 +138,9 @@
                     reply(problem(404, "no_such_zone", f"zone {zone} is none of the settings"))
                     return
                 door.evacuate(zone, method == "POST", self.ending(reply))
-            case (_, ["-", "configuration" | "evacuation" | "lookup" | "readiness" | "status", *_]):
+            case ("DELETE", ["-", "core", ip]) if "control" in self.roles:
+                door.retire(ip, self.ending(reply))
+            case (_, ["-", "configuration" | "evacuation" | "core" | "lookup" | "readiness" | "status", *_]):
                 reply(problem(405, "no_such_call", f"{method} is no call here"))
             case _:
                 reply(problem(404, "no_such_path", "no such path"))
--- a/hive/door.py
+++ b/hive/door.py
@@ -295,6 +295,9 @@
     def evacuate(self, zone: str, closed: bool, done: Reply) -> None:
         self.order(lambda token: self.core.evacuate(self.loop.time(), token, zone, closed), done)
 
+    def retire(self, ip: str, done: Reply) -> None:
+        self.order(lambda token: self.core.retire(self.loop.time(), token, ip), done)
+
     def done(self, deed: Done) -> None:
         reply = self.replies.pop(deed.token, None)
         if reply is None:
--- a/keeper/__main__.py
+++ b/keeper/__main__.py
@@ -29,6 +29,8 @@
         ("return", "take an evacuation back"),
     ):
         calls.add_parser(name, help=text).add_argument("zone")
+    retire = calls.add_parser("retire", help="take a core door out for good that does not come back")
+    retire.add_argument("address", help="its address, as status names it")
     calls.add_parser("status", help="what each door says of itself")
     calls.add_parser("check", help="say whether a configuration would be taken").add_argument("file")
     return made
@@ -49,9 +51,11 @@
             bad = 1
             continue
         core = sum(said["core"].values())
+        away = [address for address, answers in said["core"].items() if not answers]
         print(
             f"{door}  {said['name']}  {'ready' if said['ready'] else 'NOT READY'}"
             f"  configuration {said['configuration']}  core {core}/{len(said['core'])}"
+            f"{' without ' + ','.join(away) if away else ''}"
             f"  doors {len(said['doors'])}  closed {','.join(said['closedZones']) or 'none'}"
             f"  servers {sum(said['servers'].values())}  fresh for {said['freshForS']} s"
         )
@@ -95,6 +99,8 @@
                 else:
                     print(answer.body.decode())
                 return 0
+            case "retire":
+                answer = order(doors, "DELETE", f"/-/core/{chosen.address}", None, chosen.patience)
             case "evacuate" | "return":
                 method = "POST" if chosen.call == "evacuate" else "DELETE"
                 answer = order(doors, method, f"/-/evacuation/{chosen.zone}", None, chosen.patience)
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -9,6 +9,7 @@
 
 import cbor2
 
+from comb.state import Member
 from comb.word import digest, number_of
 from nectar.counter import Counter
 from nectar.credits import Granted, Lapsed
@@ -82,6 +83,10 @@
     def evacuate(self, now: float, token: int, zone: str, closed: bool) -> list[Deed]:
         return self.order(now, Order(token, now, "evacuate", zone=zone, closed=closed))
 
+    def retire(self, now: float, token: int, ip: str) -> list[Deed]:
+        """An operator takes a member out of the core for good."""
+        return self.order(now, Order(token, now, "retire", member=Member(ip), by_hand=True))
+
     def read(self, now: float, token: int) -> list[Deed]:
         return self.order(now, Order(token, now, "read"))
 
--- a/queenless/orders.py
+++ b/queenless/orders.py
@@ -33,6 +33,7 @@
     closed: bool = False
     member: Member | None = None
     grows: bool = False  # a join that makes the core larger by intent
+    by_hand: bool = False  # a member goes, and the core is meant to be smaller from then on
     version: int = -1  # of the state in force here when it came
 
     def apply(self, state: State) -> State:
@@ -47,6 +48,11 @@
             others = [member for member in state.members if member.ip != self.member.ip and member.disk]
             size = state.size + (self.grows and state.seat(self.member.ip) is None)
             return replace(state, members=tuple(sorted([*others, self.member])), size=size)
+        if self.kind == "retire" and self.by_hand:
+            left = tuple(m for m in state.members if self.member is None or m.ip != self.member.ip)
+            if not left or left == state.members:
+                return state
+            return replace(state, members=left, size=min(state.size, len(left)))
         if self.kind == "retire" and self.member in state.members and len(state.members) > state.size:
             return replace(state, members=tuple(m for m in state.members if m != self.member))
         return state
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -7,7 +7,7 @@
 import comb.state
 from queenless.deeds import Message
 
-from .world import World
+from .world import Call, World
 
 
 def settled_world(core: int = 4, others: int = 3, seed: int = 1, odd: float = 0.0) -> World:
@@ -377,8 +377,25 @@
         world.deeds("d6", core.heard(world.now, source, message))
     assert not door.heard and core.dropped["grant"] and core.dropped["echo"]
     asked = {ip: peer.asked_at for ip, peer in core.peers.peers.items()}
-    monkeypatch.setattr(core.beats, "shift", old.beats.shift)  # the fence bites: without it, the old echoes count
+    monkeypatch.setattr(
+        core.beats, "shift", old.beats.shift
+    )  # the fence bites: without it, the old echoes count
     for source, message in held:
         if message["k"] == "echo":
             world.deeds("d6", core.heard(world.now + 9.0, source, {**message, "t": message["t"] + 9.0}))
     assert any(peer.asked_at > asked[ip] for ip, peer in core.peers.peers.items())
+
+
+def test_an_operator_takes_a_member_out_that_has_no_successor() -> None:
+    world = settled_world()
+    world.remove("d4")
+    token = world.call(
+        Call("retire", world.now, "d6"), lambda core, token: core.retire(world.now, token, "d4")
+    )
+    world.run(1.0)
+    state = world.decided[max(world.decided)]
+    assert world.calls[token].good and len(state.members) == state.size == 3
+    world.kill("d3")  # of four with one lost a second loss would have stopped the operator
+    order = world.put("d6", 6)
+    world.run(1.5)
+    assert world.calls[order].good and not world.breaches
