Do not take an answer that tells nothing for one that tells nothing new

An answer that comes late could also put back what a later one had told.

Change: only an answer that speaks of its sender's state counts, and none that a later one has overtaken.

Measured: tests/test_control.py, stopped for twenty seconds: a door without a disk read version 2 after 3 was acknowledged; not any more. World's lives are larger numbers, as a clock set back made them negative.

--- a/queenless/beats.py
+++ b/queenless/beats.py
@@ -134,10 +134,10 @@
         """What an echo tells of its sender; `asked_at` is when its beat was sent."""
         peer = self.peers.peer(about)
         peer.heard_at = now
-        peer.asked_at = max(peer.asked_at, asked_at)
         peer.knows_me = "y" not in message
-        if not peer.knows_me:
-            return peer
+        if not peer.knows_me or asked_at < peer.asked_at:
+            return peer  # it told nothing of itself, or what an answer that has come before it has overtaken
+        peer.asked_at = asked_at
         peer.counts_on = message.get("p")
         if (state := message.get("z")) is not None:
             peer.state_sum = self.sum_of(state)
--- a/tests/world.py
+++ b/tests/world.py
@@ -121,7 +121,7 @@
         """Start a door; `clock`: by how many lives its clock stands back."""
         door = self.doors[name]
         door.lives += 1
-        life = door.lives * 100 + (door.disk is not None) - clock
+        life = 100_000 + door.lives * 100 + (door.disk is not None) - clock
         door.about = About(name, door.about.zone, door.about.region, self.disk_number(), life)
         if door.disk is None:
             door.about = About(name, door.about.zone, door.about.region, 0, life)
