--- a/comb/state.py
+++ b/comb/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -83,7 +83,8 @@
 
 
 def voices_needed(members: int) -> int:
-    """Members that together know of every decided state: with a majority they share one (docs/control.md)."""
+    """Members that together know of every decided state: with any majority they share one.  So many promises begin
+    a round, and so many voices make a read; of an even number of members that is half (docs/control.md)."""
     return max(1, members - majority(members) + 1)
 
 
@@ -93,9 +94,9 @@
     return founder if member.disk == 0 else member.disk == disk
 
 
-def have_majority(sets: Iterable[tuple[Member, ...]], voters: Voters) -> bool:
-    """Whether those who answered are a majority of each set of members."""
-    return all(
-        sum(m.ip in voters and takes(m, voters[m.ip]) for m in members) >= majority(len(members))
+def missing(sets: Iterable[tuple[Member, ...]], voters: Voters, needed: Callable[[int], int]) -> int:
+    """How many answers are lacking yet, over all sets of members; `needed` of each: `majority` or `voices_needed`."""
+    return sum(
+        max(0, needed(len(members)) - sum(m.ip in voters and takes(m, voters[m.ip]) for m in members))
         for members in sets
     )
--- a/queenless/control.py
+++ b/queenless/control.py
@@ -45,7 +45,7 @@
         if first and self.register.decided is None and seeds:
             self.register.decided = (NO_BALLOT, founding(seeds))
             self.register.stale.add("decided")
-        self.orders = Orders(self.register, (me.ip, me.life), random.Random(me.life))
+        self.orders = Orders(self.register, (me.ip, me.life), random.Random(me.life), peers.answers)
         self.members = Membership(now, peers, self.register, self.orders, first)
         self.marks: dict[str, bytes | None] = {}  # other records that are to be written
         self.serial = 0
@@ -54,6 +54,7 @@
         self.queued: list[tuple[str, Message]] = []  # and for the next one
         self.failed = False
         self.guest = NOBODY  # whose round is under way here: until when, whose, on what base, and whether it has chosen
+        self.put_off: set[str] = set()  # doors without a seat that were told to wait for what is under way
         self.own: list[Message] = []  # messages of this door to itself
         self.asked: tuple[float, int] = (-1e9, 0)  # when a newer state was asked for, and how often
         self.deeds: list[Deed] = []
@@ -175,6 +176,8 @@
             return
         self.guest = NOBODY
         self.orders.eager()
+        while self.put_off:  # members hear it from who has decided
+            self.tell(self.put_off.pop(), NO_WORD)
         if before is None or state.digest != before.digest:
             self.deeds.append(Changed(WORD))
         if before is None or state.closed != before.closed:
@@ -275,7 +278,8 @@
                 self.orders.accepted(source, (message["u"][0], message["u"][1]), ballot_of(message["b"]))
             case "no":
                 higher = ballot_of(message["p"])
-                self.orders.refused(now, source, ballot_of(message["b"]), higher, message["w"] / 1000)
+                wait = message["w"] / 1000
+                self.orders.refused(now, source, ballot_of(message["b"]), higher, wait, message["a"])
             case "over":
                 if self.guest[1] == source and ballot_of(message["b"]) >= self.register.promised:
                     self.guest = NOBODY
@@ -314,8 +318,13 @@
             except Lacking:
                 self.emit(source, {"k": "lack", "b": message["b"]})
                 return
-        wait = int(1000 * (self.guest[0] - now)) if busy else 0
-        self.emit(source, {"k": "no", "b": message["b"], "p": list(register.promised), "w": wait})
+        # who is outbid while it brings a state lets the higher ballot end first; a ballot that is merely too low need not
+        outbid = message["k"] == "accept" and self.guest[1] != source
+        wait = max(0, int(1000 * (self.guest[0] - now))) if busy or outbid else 0
+        if wait and (state := self.state) is not None and state.seat(source) is None:
+            self.put_off.add(source)
+        told = {"k": "no", "b": message["b"], "p": list(register.promised), "w": wait}
+        self.emit(source, {**told, "a": message["k"] == "accept"})
 
     def busy(self, now: float, source: str, base: int) -> bool:
         """Whether another door's round goes first here.  Who knows the newer state does; of two that know the same
--- a/queenless/orders.py
+++ b/queenless/orders.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from comb.register import Register
-from comb.state import NO_BALLOT, NO_WORD, Ballot, Member, State, have_majority, majority, takes
+from comb.state import NO_BALLOT, NO_WORD, Ballot, Member, State, majority, missing, voices_needed
 
 AGAIN = 0.25  # seconds between sendings to a member that has not answered
 LONG = 0.7  # seconds after which a round that met another counts on no more answers: two syncs of a slow disk
@@ -100,7 +100,7 @@
 
 @dataclass(slots=True)
 class Round:
-    """One ballot of one door: promises of a majority, then acceptances of one state."""
+    """One ballot of one door: promises of so many that any majority has one of them, then a majority's acceptances."""
 
     ballot: Ballot
     base: State  # the newest decided state that its door knows
@@ -121,8 +121,15 @@
     """A door's proposer.  One round at a time carries all its orders; a round that finds a state which may have
     been decided brings that to its end first."""
 
-    def __init__(self, register: Register, me: tuple[str, int], chance: random.Random) -> None:
-        self.register, self.me, self.chance = register, me, chance
+    def __init__(
+        self,
+        register: Register,
+        me: tuple[str, int],
+        chance: random.Random,
+        answers: Callable[[float, Member], bool],
+    ) -> None:
+        """`answers`: whether a member has answered of late."""
+        self.register, self.me, self.chance, self.answers = register, me, chance, answers
         self.open: list[Order] = []
         self.round: Round | None = None
         self.count = 0  # the highest ballot's count that was heard of
@@ -175,10 +182,10 @@
     def why(self) -> str:
         if self.round is None:
             return "look: too few voices"
-        step, have = ("copy", self.round.accepts) if self.round.target else ("look", self.round.promises)
-        members = max(self.round.best[1].sets(), key=len)
-        count = sum(m.ip in have and takes(m, have[m.ip]) for m in members)
-        return f"{step}: {count} of {majority(len(members))} disks"
+        current = self.round
+        if current.target is None:
+            return f"look: {missing(self.asked_sets(current), current.promises, voices_needed)} voices are missing"
+        return f"copy: {missing(current.target.sets(), current.accepts, majority)} disks are missing"
 
     # --- rounds -----------------------------------------------------------------------------------------------
 
@@ -279,16 +286,27 @@
             current.words[best[1].digest] = word
         if best is not None and best[0] > current.best[0]:
             current.best = best
-        if not have_majority(self.asked_sets(current), current.promises):
+        if missing(self.asked_sets(current), current.promises, voices_needed):
             return
         found = current.best[1]
         target = found if found.version > current.base.version else self.wanted(current.base)
+        if target is not current.base and not self.enough(now, current, target):
+            return
         if target.digest == NO_WORD or (kept := self.word(target.digest)) is not None:
             if target.digest != NO_WORD and kept is not None:
                 current.words[target.digest] = kept  # its order may end before the round does
             current.target, current.sent, current.refused = target, {}, set()
             current.phase_began = now
 
+    def enough(self, now: float, current: Round, target: State) -> bool:
+        """Whether a majority is there to accept.  A state that too few can accept would stay half agreed on, and keep
+        all from being sure of the one in force."""
+        for members in target.sets():
+            answer = {m.ip: (m.disk, m.disk == 0) for m in members if self.answers(now, m)}
+            if missing([members], {**answer, **current.promises}, majority):
+                return False
+        return True
+
     def accepted(self, source: str, voter: tuple[int, bool], ballot: Ballot) -> None:
         current = self.round
         if current is not None and current.ballot == ballot and current.target is not None:
@@ -300,18 +318,21 @@
             self.round.holds.pop(source, None)
             self.round.sent.pop(source, None)
 
-    def refused(self, now: float, source: str, ballot: Ballot, higher: Ballot, wait: float) -> None:
+    def refused(
+        self, now: float, source: str, ballot: Ballot, higher: Ballot, wait: float, brought: bool
+    ) -> None:
         """A member has promised a higher ballot, or lets another round go first, for some seconds at most.  The round
-        ends where no majority is left for it."""
+        ends where too few are left for it.  `brought`: a state was refused, and not the asking for a promise."""
         self.count = max(self.count, higher[0])
         current = self.round
-        if current is None or current.ballot != ballot:
+        if current is None or current.ballot != ballot or brought is (current.target is None):
             return
         current.refused.add(source)
         current.wait = max(current.wait, wait)
         sets = current.target.sets() if current.target is not None else self.asked_sets(current)
+        needed = voices_needed if current.target is None else majority
         left = [sum(m.ip not in current.refused for m in members) for members in sets]
-        if any(count < majority(len(members)) for count, members in zip(left, sets, strict=True)):
+        if any(count < needed(len(members)) for count, members in zip(left, sets, strict=True)):
             self.give_up(now)
 
     def drop(self) -> None:
@@ -336,7 +357,7 @@
         current = self.round
         if current is None or current.target is None:
             return None
-        if current.target is not current.base and not have_majority(current.target.sets(), current.accepts):
+        if current.target is not current.base and missing(current.target.sets(), current.accepts, majority):
             return None
         if current.target is current.base:
             self.drop()
--- a/swarm/peers.py
+++ b/swarm/peers.py
@@ -141,6 +141,13 @@
         peer = self.peers.get(ip)
         return ip == self.me.ip or (peer is not None and now - peer.heard_at < SILENT)
 
+    def answers(self, now: float, member: Member) -> bool:
+        """Whether a member has answered of late from the disk that holds its seat."""
+        peer = self.peers.get(member.ip)
+        if peer is None or now - peer.heard_at >= SILENT:
+            return False
+        return member.disk in (0, peer.about.disk)
+
     def leaving(self, ip: str) -> bool:
         peer = self.peers.get(ip)
         return peer is not None and peer.leaving
