--- a/queenless/control.py
+++ b/queenless/control.py
@@ -318,7 +318,7 @@
             except Lacking:
                 self.emit(source, {"k": "lack", "b": message["b"]})
                 return
-        # who is outbid while it brings a state lets the higher ballot end first; a ballot that is merely too low need not
+        # who is outbid while it brings a state lets the higher ballot end first; one that is merely too low need not
         outbid = message["k"] == "accept" and self.guest[1] != source
         wait = max(0, int(1000 * (self.guest[0] - now))) if busy or outbid else 0
         if wait and (state := self.state) is not None and state.seat(source) is None:
