--- a/bench/own.py
+++ b/bench/own.py
@@ -24,6 +24,9 @@
     "kill_all": 'closing = { kind = "kill_all", down_s = 1.4 }\n',
     "power_off_all": 'closing = { kind = "power_off_all", down_s = 1.6 }\n',
     "wipe_after_ack": 'closing = { kind = "wipe_after_ack", down_s = 0.9, how = "aimed" }\n',
+    "wipe_timed": 'closing = { kind = "wipe_after_ack", down_s = 0.9, how = "timed" }\n',
+    "power_timed": 'closing = { kind = "power_off_all", down_s = 1.6, how = "timed" }\n',
+    "power_taken": 'closing = { kind = "power_off_all", down_s = 1.6, how = "taken" }\n',
 }
 
 
@@ -98,11 +101,11 @@
     tasks = [(site, day, closing) for site in chosen.sites for day in days for closing in CLOSINGS]
     with ThreadPoolExecutor(chosen.jobs) as pool:
         plays = list(pool.map(lambda task: play(chosen.bench, task[0], task[1], task[2], chosen.seed), tasks))
-    print(f"{'site':14s} {'day':14s} {'closing':15s} worth refused failed  worst window  back after s")
+    print(f"{'site':14s} {'day':16s} {'closing':15s} worth refused failed  worst window  back after s")
     for found in plays:
         figures = f"{found.worth:.3f}   {found.refused:.3f}  {found.failed:.3f}         {found.worst:.2f}"
         back = "" if found.back is None else f"{found.back:15.1f}"
-        print(f"{found.site:14s} {found.day:14s} {found.closing:15s} {found.wrong or figures + back}")
+        print(f"{found.site:14s} {found.day:16s} {found.closing:15s} {found.wrong or figures + back}")
     bad = sum(bool(found.wrong) for found in plays)
     print(f"{len(plays)} days, {bad} with a rule broken or not played")
     return 1 if bad else 0
