--- a/hive/front.py
+++ b/hive/front.py
@@ -11,7 +11,7 @@
 
 from comb.word import Route, Tenant, Word
 from forage.gate import Asked, Deny, Forager, Lease, Leave
-from hive.servers import ID, Reply, Servers, Stream, Try, promise_kept, status_line
+from hive.servers import ID, PROMISES, Reply, Servers, Stream, Try, promise_kept, status_line
 from ivymux.caller import HOP_BY_HOP, LEAST_ADVICE, MOST_HELD, BadRequest, Client, Exchange, Listener
 from ivymux.config import Address
 from ivymux.host import Answer, Host, Open
@@ -47,7 +47,7 @@
 
 
 def flow_head(flow: Flow, chunked: bool, close: bool) -> bytes:
-    head = status_line(200) + cast(Stream, flow).headers
+    head = status_line(cast(Stream, flow).status) + cast(Stream, flow).headers
     if flow.length is not None:
         head += b"Content-Length: %d\r\n" % flow.length
     elif chunked:
@@ -108,6 +108,14 @@
 
         return Try(request.mark, payload, ended, begun, request.upload)
 
+    def answer_all(self) -> None:
+        """The process ends: what no server has seen is promised not to have run, the rest gets its answer."""
+        for request in list(self.table.values()):
+            if not request.settled and not request.sent:
+                self.end(request.number, Final(503, retry_after=UNKNOWN))
+                self.post(i.Left(request.number))
+        super().answer_all()
+
     def served(self, result: Result) -> Answer:
         reply = cast(Reply, result)
         return Final(reply.status, reply.body, headers=reply.headers)
@@ -159,6 +167,13 @@
             timeout = min(timeout, int(left) / 1000)
         self.ask(exchange, front, route, tenant, id_, timeout)
 
+    def reject(self, error: BadRequest) -> None:
+        """A body that broke off: no promise once a part of it went to a server."""
+        request = self.exchange.request if self.exchange is not None else None
+        if error.status in PROMISES and request is not None and request.sent:
+            error = BadRequest(str(error), 502)
+        super().reject(error)
+
     def tenant(self, word: Word, route: Route, authorization: bytes) -> Tenant | None:
         if route.open or authorization[: len(BEARER)].lower() != BEARER:
             return None
--- a/hive/servers.py
+++ b/hive/servers.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
+from typing import cast
 
 from ivymux.caller import REASONS
-from ivymux.link import Attempt, Flow, Link, Result
+from ivymux.link import SMALL, Attempt, Flow, Link, Result
 from ivymux.metrics import Counts
 from ivymux.pool import Pool
-from ivymux.upstream import Upstream
+from ivymux.upstream import IDLE_PART, Upstream
 from orchidhill.interface import Outcome
 
 ID, SEAL = b"x-hazelspring-attempt-id", b"x-hazelspring-server-seal"
 PASSED = frozenset((b"content-type", ID, SEAL))  # headers of an answer that go to its client
 PROMISES = (408, 421, 429, 503)  # only where a server says that it has not run
+TIMEOUT = re.compile(rb"timeout=(\d{1,6})")  # of Keep-Alive, in seconds
+MISDIRECTED = 421  # another server has the address; where it says which one, the request did not run
 
 
 @dataclass(slots=True)
@@ -29,6 +33,7 @@
     """A large answer that begins."""
 
     headers: bytes = b""
+    status: int = 200
 
 
 class Try(Attempt):
@@ -44,10 +49,12 @@
 class Line(Link):
     """One connection to a server."""
 
-    __slots__ = ("foreign", "id", "out_of_step", "passed", "seal")
+    __slots__ = ("cut", "foreign", "id", "named", "out_of_step", "passed", "seal")
 
     def clear(self) -> None:
         super().clear()
+        self.named = False  # the server says which one it is
+        self.cut = False  # a failure's body is longer than what is held of it
         self.passed = b""
         self.id, self.seal = b"", b""
 
@@ -72,6 +79,11 @@
             self.load = value.strip(b" \t")
         elif name == b"x-hazelspring-not-executed":
             self.not_started = True
+        elif name == b"x-hazelspring-answering-instance":
+            self.named = bool(value.strip(b" \t"))
+        elif name == b"keep-alive" and (told := TIMEOUT.search(value)) is not None:
+            keep_idle = cast(Servers, self.pool.owner).keep_idle
+            self.age_part = min(self.age_part, IDLE_PART * int(told[1]) / keep_idle)
 
     def on_headers_complete(self) -> None:
         super().on_headers_complete()
@@ -82,12 +94,16 @@
         elif isinstance(attempt, Try) and 200 <= status < 300 and not self.seal:
             raise ValueError("a success without its stamp")
 
+    def serves(self, status: int) -> bool:
+        return 200 <= status < 300
+
     def on_body(self, body: bytes) -> None:
         if not self.foreign:
+            self.cut = self.cut or len(self.body) + len(body) > SMALL
             super().on_body(body)
 
     def flow(self) -> Flow:
-        return Stream(self.length, self.content_type, self, self.passed)
+        return Stream(self.length, self.content_type, self, self.passed, self.parser.get_status_code())
 
     def on_message_complete(self) -> None:
         if self.foreign:
@@ -103,13 +119,22 @@
         if result is None or result is had or self.attempt is None:
             return
         status = self.parser.get_status_code()
-        outcome = Outcome.OK if 200 <= status < 300 else Outcome.FULL if self.not_started else Outcome.ERROR
-        self.keep = self.keep and not self.out_of_step
-        self.result = Reply(outcome, result.spent, result.report, result.body, b"", status, self.passed)
+        outcome, refused = Outcome.ERROR, self.not_started or (self.named and status == MISDIRECTED)
+        if self.serves(status):
+            outcome = Outcome.OK
+        elif refused:
+            outcome = Outcome.FULL
+        # An answer without an id is known by being its connection's only one: a late copy proves nothing.
+        self.keep = self.keep and not self.out_of_step and bool(self.id)
+        if outcome is Outcome.ERROR and self.cut:
+            self.result = Result(outcome, result.spent, result.report)
+        else:
+            self.result = Reply(outcome, result.spent, result.report, result.body, b"", status, self.passed)
 
     def connection_lost(self, error: Exception | None) -> None:
-        if self.attempt is not None and self.attempt.verdict is None and self.sending():
-            self.attempt.verdict = Outcome.RESET  # a part has gone out: who knows what its server made of it
+        attempt = self.attempt
+        if attempt is not None and attempt.verdict in (None, Outcome.CANCELLED) and self.sending():
+            attempt.verdict = Outcome.RESET  # a part has gone out: who knows what its server made of it
         super().connection_lost(error)
 
 
--- a/ivymux/link.py
+++ b/ivymux/link.py
@@ -279,12 +279,18 @@
     def on_headers_complete(self) -> None:
         self.headed_at = self.moved_at
 
+    def serves(self, status: int) -> bool:
+        """Whether an answer of this status serves its client."""
+        return status == 200
+
     def on_body(self, body: bytes) -> None:
+        if self.result is not None:
+            return  # of a second answer, behind the one that is whole
         if self.sink is not None:
             self.sink.feed(body)
             return
         self.body += body
-        if self.parser.get_status_code() != 200:
+        if not self.serves(self.parser.get_status_code()):
             del self.body[SMALL:]  # nobody is served this
         elif self.length is not None:
             if self.length > SMALL:
@@ -318,7 +324,7 @@
             return
         if self.transport is None or self.transport.is_closing() or self.attempt is None or self.surplus:
             return
-        if status == 200:
+        if self.serves(status):
             outcome = Outcome.OK
         elif status in (503, 504) and self.not_started:
             outcome = Outcome.FULL
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
 
 from comb.word import Route
 from forage.gate import Asked, Forager, Told
-from hive.front import Carrier
+from hive.front import Carrier, Visitor, encode, flow_head
 from hive.servers import Line, Reply, Servers, Try, promise_kept
+from ivymux.caller import BadRequest, Exchange
+from ivymux.config import Address
 from ivymux.host import Answer
-from ivymux.link import READ, Result
+from ivymux.link import READ, SMALL, Flow, Result
 from ivymux.metrics import Counts
 from orchidhill import interface as i
 from orchidhill.interface import Outcome
@@ -39,29 +42,53 @@
     def abort(self) -> None:
         self.closed = True
 
+    def write_eof(self) -> None:
+        self.closed = True
+
+
+class Taken:
+    """Takes an answer that is passed on as it comes."""
+
+    def __init__(self) -> None:
+        self.flow: Flow | None = None
+        self.data, self.whole = b"", False
+
+    def feed(self, data: bytes) -> None:
+        self.data += data
+
+    def finish(self, whole: bool) -> None:
+        self.whole = whole
+
 
 def answer(status: int, id_: str = "me", seal: bool = True, body: bytes = b"body", more: str = "") -> bytes:
     head = f"HTTP/1.1 {status} X\r\nX-Hazelspring-Attempt-Id: {id_}\r\nContent-Length: {len(body)}\r\n{more}"
     return (head + ("X-Hazelspring-Server-Seal: s\r\n" if seal else "") + "\r\n").encode() + body
 
 
-def play(*pieces: bytes, ends: bool = False, unsent: bool = False) -> tuple[list[Result], Wire]:
-    """What becomes of one try whose connection brings these pieces."""
+def play(
+    *pieces: bytes, ends: bool = False, unsent: bool = False, why: Outcome | None = None, sink: Any = None
+) -> tuple[list[Result], Wire]:
+    """What becomes of one try whose connection brings these pieces; it is given up where there is a `why`."""
+
+    def begun(flow: Flow) -> Any:
+        sink.flow = flow
+        return sink
 
     async def run() -> tuple[list[Result], Wire]:
         servers = Servers(0.3, 9.0, 100, Counts())
-        from ivymux.config import Address
-
         servers.place(1, Address("127.0.0.1", 9), 0.0)
         line, wire, results = Line(servers.pools[1]), Wire(), list[Result]()
         line.connection_made(wire)
-        line.carry(Try(b"me", b"GET / HTTP/1.1\r\n\r\n", results.append))
+        attempt = Try(b"me", b"GET / HTTP/1.1\r\n\r\n", results.append, begun if sink else None)
+        line.carry(attempt)
         if unsent:
             line.pause_writing()
         for piece in pieces:
             if not wire.closed:
                 READ[: len(piece)] = piece
                 line.buffer_updated(len(piece))
+        if why is not None:
+            attempt.give_up(why)
         if ends or wire.closed:
             line.connection_lost(None)
         await asyncio.sleep(0)
@@ -130,6 +157,74 @@
     assert result.outcome is Outcome.RESET and not result.outcome.never_ran
 
 
+def pieces(data: bytes) -> list[bytes]:
+    """As one read brings them at most."""
+    return [data[n : n + SMALL] for n in range(0, len(data), SMALL)]
+
+
+@pytest.mark.parametrize("status", [200, 201])
+def test_nothing_behind_a_large_answer_goes_to_its_client(status: int) -> None:
+    body, taken = b"y" * (SMALL + 5000), Taken()
+    whole = answer(status, body=body)
+    (result,), wire = play(*pieces(whole + answer(200, body=b"more")), sink=taken)
+    assert result.outcome is Outcome.OK and wire.closed
+    assert (taken.data == body, taken.whole) == (True, True)
+    assert taken.flow is not None and flow_head(taken.flow, False, False).startswith(b"HTTP/1.1 %d" % status)
+
+
+def test_a_failure_too_large_to_hold_is_not_passed_on_as_if_it_were_whole() -> None:
+    (result,), _ = play(*pieces(answer(500, body=b"y" * (SMALL + 1))))
+    assert result.outcome is Outcome.ERROR and not isinstance(result, Reply)
+
+
+@pytest.mark.parametrize("status", [503, 421, 400])
+def test_a_refusal_without_an_id_is_the_last_on_its_connection(status: int) -> None:
+    """Come again late it would prove of the next request, too, that it never ran."""
+    refusal = f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n"
+    told = f"X-Hazelspring-{'Answering-Instance: i-9' if status == 421 else 'Not-Executed: 1'}\r\n"
+    (result,), wire = play((refusal + told + "\r\n").encode())
+    assert result.outcome is Outcome.FULL and wire.closed
+    (result,), wire = play((refusal + told + "X-Hazelspring-Attempt-Id: me\r\n\r\n").encode())
+    assert result.outcome is Outcome.FULL and not wire.closed
+
+
+@pytest.mark.parametrize("why", [Outcome.CANCELLED, Outcome.TIMEOUT])
+def test_a_part_that_went_out_may_have_run_whyever_it_was_given_up(why: Outcome) -> None:
+    (result,), wire = play(unsent=True, why=why)
+    assert wire.closed and not result.outcome.never_ran
+
+
+@pytest.mark.parametrize(("tries", "status"), [(0, 408), (1, 502)])
+def test_a_body_that_never_came_whole_is_no_promise_once_a_part_was_passed_on(
+    tries: int, status: int
+) -> None:
+    host = SimpleNamespace(left=lambda request: None, counts=Counts())
+    loop = SimpleNamespace(call_later=lambda *_: None)
+    front = SimpleNamespace(held=0, host=host, loop=loop, encode=encode, keeps_none=lambda: False)
+    visitor, wire = Visitor(cast(Any, front)), Wire()
+    visitor.transport = wire
+    exchange = visitor.exchange = Exchange(visitor, keep_alive=True)
+    exchange.request = cast(Any, SimpleNamespace(sent=tries))
+    visitor.pending.append(exchange)
+    visitor.reject(BadRequest("the request did not come whole", 408))
+    assert wire.sent.startswith(b"HTTP/1.1 %d " % status) and wire.closed
+
+
+def test_a_connection_stands_idle_no_longer_than_its_server_says() -> None:
+    async def run() -> None:
+        servers = Servers(0.3, 9.0, 100, Counts())
+        line = Line(cast(Any, SimpleNamespace(owner=servers)))
+        before = line.age_part
+        line.on_header(b"Keep-Alive", b"max=5, timeout=2")
+        assert line.age_part * servers.keep_idle <= 1.0 < before * servers.keep_idle
+        line.on_header(b"Keep-Alive", b"timeout=60")
+        line.on_header(b"Keep-Alive", b"timeout=soon")
+        assert line.age_part * servers.keep_idle <= 1.0
+        servers.close()
+
+    asyncio.run(run())
+
+
 def test_a_request_whose_decision_fails_is_answered_at_once_and_promised_truly() -> None:
     class Broken:
         settings, actions = Told(i.Limits(2, True, True, False, True, 1.0, 0.3)), list[Any]()
@@ -156,3 +251,37 @@
         servers.close()
 
     asyncio.run(run())
+
+
+def test_when_the_process_ends_only_what_no_server_was_offered_is_promised() -> None:
+    class Sends:
+        """Offers its second request to a server."""
+
+        settings, actions = Told(i.Limits(2, True, True, False, True, 1.0, 0.3)), list[Any]()
+
+        def handle(self, now: float, event: object) -> list[Any]:
+            return [i.Send(2, 1, 0.0)] if isinstance(event, Asked) and event.request == 2 else []
+
+    answers: dict[str, int] = {}
+
+    async def run() -> None:
+        counts = Counts()
+        servers = Servers(0.3, 9.0, 100, counts)
+        servers.place(1, Address("127.0.0.1", 9), 0.0)
+        line = Line(servers.pools[1])
+        line.connection_made(Wire())
+        servers.pools[1].put(line)
+        carrier = Carrier(cast(Forager, Sends()), servers, counts, lambda call: None)
+
+        def make(request: int) -> Any:
+            return Asked(request, cast(Route, None), None, 9.0)
+
+        for name in ("held", "offered"):
+            caller = SimpleNamespace(reply=lambda final, name=name: answers.update({name: final.status}))
+            carrier.request(make, "mutating", 9.0, lambda left, backend: b"x", cast(Any, caller))
+        carrier.answer_all()
+        assert carrier.waiting == 0 and line.why == "given_up"
+        servers.close()
+
+    asyncio.run(run())
+    assert answers == {"held": 503, "offered": 504}
