Let a stopped door end only when its last answer has left the process

Cause: the drain waited for the last byte from a server, not until it had left for the client. With a client that reads slowly up to 128 KiB of an answer still waited in the process, which then ended in 50 ms. Also, what was held at the end of the grace period was closed without an answer.

Change: the drain also waits for unread answers and for requests that come in, inside the same limit; at its end what is held is answered. Listener gains owes(); nothing that the front door in service uses changes. The stand-in servers can give larger answers.

The slow reader's test fails before (the door ended while its answer was unread); the test of two writes at work when the signal comes passed before, too, and stays as the guard.

--- a/apiary/stands.py
+++ b/apiary/stands.py
@@ -50,6 +50,7 @@
     slots: int = 2
     state: str = "accepting"
     work: float = 0.01
+    bulk: int = 0  # bytes more in its answers
     cut: bool = False  # it runs a request and its answer is lost
     ran: Counter[str] = field(default_factory=Counter)
     last: Headers = field(default_factory=dict)  # of the request that it ran last
@@ -79,7 +80,7 @@
                 "X-Hazelspring-Server-Seal": f"seal-{self.id}",
                 "X-Hazelspring-Server-Load": f"{self.busy},0,{self.slots}",
             },
-            f"{self.id} {method} {path} {len(body)}\n".encode(),
+            f"{self.id} {method} {path} {len(body)}\n".encode() + b"." * self.bulk,
         )
 
 
--- a/hive/door.py
+++ b/hive/door.py
@@ -365,7 +365,7 @@
         self.front.stop_listening()
         self.front.close_idle()
         while self.loop.time() - began < self.settings.grace - LAST:
-            if not self.carrier.waiting and not self.core.control.needed():
+            if not (self.carrier.waiting or self.front.owes() or self.core.control.needed()):
                 break
             await asyncio.sleep(0.02)
         log.say("hive", "ends", open=self.carrier.waiting)
@@ -373,6 +373,7 @@
 
     async def close(self) -> None:
         self.timer.cancel()
+        self.carrier.answer_all()
         self.front.close()
         for desk in self.desks:
             desk.stop_listening()
--- a/ivymux/caller.py
+++ b/ivymux/caller.py
@@ -587,6 +587,14 @@
         """Whether a client may still send a request on a connection, or waits for an answer."""
         return any(not client.broken for client in self.clients)
 
+    def owes(self) -> bool:
+        """Whether a request is coming in, or part of an answer has yet to leave this process."""
+        return any(
+            client.pending or client.arriving or client.transport.get_write_buffer_size()
+            for client in self.clients
+            if client.transport is not None
+        )
+
     def close_idle(self) -> None:
         for client in list(self.clients):
             if not client.pending and not client.arriving and client.transport is not None:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -6,6 +6,8 @@
 import os
 import signal
 import socket
+import subprocess
+import threading
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -147,6 +149,58 @@
     yard.until(lambda: yard.is_ready(4))
 
 
+def test_what_a_server_is_at_work_on_when_its_door_is_stopped_is_answered_and_runs_once(yard: Yard) -> None:
+    for server in yard.servers:
+        server.work = 2.0  # longer than the door listens on
+    found: list[tuple[int, bytes]] = []
+    calls = [
+        threading.Thread(target=lambda call=call: found.append(yard.ask(4, *call)))
+        for call in (("POST", "/write/a", "held-w"), ("POST", "/write/b", "held-v"))
+    ]
+    for one in calls:
+        one.start()
+    yard.until(lambda: sum(server.busy for server in yard.servers) == 2)
+    for server in yard.servers:
+        server.work = 0.01
+    yard.processes[4].send_signal(signal.SIGTERM)
+    for one in calls:
+        one.join()
+    assert [answered for answered, _ in found] == [200, 200] and yard.processes[4].wait(10) == 0
+    assert sum(server.ran[name] for server in yard.servers for name in ("held-w", "held-v")) == 2
+    yard.start(4)
+    yard.until(lambda: yard.is_ready(4))
+
+
+def test_a_stopped_door_ends_only_when_its_last_answer_has_been_read(yard: Yard) -> None:
+    for server in yard.servers:
+        server.bulk = 100_000
+    with socket.socket() as wire:
+        wire.settimeout(10)
+        wire.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        wire.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_MAXSEG, 536
+        )  # the door's machine holds little of it, too
+        wire.connect((yard.ips[4], yard.front))
+        head = f"GET /read/a HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Bearer {KEY}\r\n"
+        wire.sendall(f"{head}X-Hazelspring-Attempt-Id: slow-1\r\n\r\n".encode())
+        answer = wire.makefile("rb")
+        assert answer.readline().split()[1] == b"200"
+        for server in yard.servers:
+            server.bulk = 0
+        process = yard.processes[4]
+        process.send_signal(signal.SIGTERM)
+        yard.until(lambda: yard.ask(4, "GET", "/read/a", "refused")[0] == 0)  # it listens no more
+        with pytest.raises(subprocess.TimeoutExpired):
+            process.wait(0.5)
+        length = 0
+        while (line := answer.readline().strip().lower()) != b"":
+            length = int(line.split()[1]) if line.startswith(b"content-length") else length
+        assert len(answer.read(length)) == length > 100_000
+    assert process.wait(10) == 0
+    yard.start(4)
+    yard.until(lambda: yard.is_ready(4))
+
+
 def test_settings_are_read_again_with_and_without_a_signal(yard: Yard) -> None:
     log, path = yard.folder / "door-6.log", yard.folder / "door-6.conf"
     text = path.read_text()
