Tell a door of the region where another zone's requests are by one door alone

Each door told every door of its region five times a second where its requests are: of the messages that a door among 82 gets on this, more than half, and most of them hardly change what it knows.

Now each door of another zone hears from one door of a zone (rendezvous among its doors), which tells the sum of what it heard from them and its own. No message is new: the sum goes out in a telling's shape. Who has nothing out says so once and is silent; a telling names 64 servers at most, the busiest, so that it never becomes a connection of its own. Where a teller goes, the roster names another; for up to a second, in which its last word still counts, a zone's requests may count twice for one door.

Ruled out: one door a zone that gathers all its doors' words and tells each of them. Fewer messages yet, but its loss would leave the zone blind, and it would be the busiest door.

--- a/hive/door.py
+++ b/hive/door.py
@@ -167,7 +167,8 @@
         self.forager.doors = self.core.peers.most_doors
         self.servers.per_backend = self.connections()
         self.carrier.post(Tick())  # type: ignore[arg-type]
-        self.carry_out(self.core.dance(now, self.forager.fleet.outs()))
+        fleet = self.forager.fleet
+        self.carry_out(self.core.herald.dance(now, fleet.outs(), fleet.dances))
         self.report(now)
         self.timer = self.loop.call_later(TICK, self.tick)
 
--- /dev/null
+++ b/tests/test_herald.py
@@ -0,0 +1,93 @@
+"""Where requests are, as doors tell each other: who tells whom, how often, and what each then knows."""
+
+from __future__ import annotations
+
+import random
+
+from forage.fleet import Fleet
+from queenless.deeds import Deed, Send
+from queenless.herald import MOST_NAMES, Herald, Outs
+from swarm.peers import About, Peers
+
+ABOUTS = [About(f"d{n}", f"z{n % 3}", "south" if n % 3 == 2 else "north", False, n) for n in range(12)]
+
+
+class Doors:
+    """Doors in three zones, two of them of one region; what one tells arrives at once, unless it is lost."""
+
+    def __init__(self) -> None:
+        self.roster = [[*about.row(), True] for about in ABOUTS]
+        self.heralds = {about.ip: Herald(Peers(about, 0.0)) for about in ABOUTS}
+        self.fleets = {a.ip: Fleet(a.zone, a.region, {}, random.Random(1)) for a in ABOUTS}
+        self.outs: dict[str, Outs] = {about.ip: {} for about in ABOUTS}
+        self.told: list[tuple[str, str]] = []
+        self.name_doors(self.roster)
+
+    def name_doors(self, roster: list[list[object]]) -> None:
+        for herald in self.heralds.values():
+            herald.peers.take_roster(roster)
+
+    def tick(self, now: float) -> None:
+        for ip, herald in self.heralds.items():
+            self.arrive(now, ip, herald.dance(now, self.outs[ip], self.fleets[ip].dances))
+
+    def arrive(self, now: float, source: str, deeds: list[Deed]) -> None:
+        for deed in deeds:
+            assert isinstance(deed, Send)
+            self.told.append((source, deed.to))
+            self.fleets[deed.to].danced(now, source, deed.message["o"])
+
+    def out(self, zones: set[str], but: str) -> Outs:
+        total: Outs = {}
+        for about in ABOUTS:
+            for name, out in self.outs[about.ip].items():
+                if about.zone in zones and about.ip != but:
+                    total[name] = total.get(name, 0) + out
+        return total
+
+
+def test_every_door_knows_the_requests_of_its_region_and_hears_of_each_other_zone_from_one_door() -> None:
+    doors, chance = Doors(), random.Random(2)
+    for n in range(40):
+        doors.outs = {a.ip: {f"s{chance.randrange(5)}": chance.randrange(1, 4)} for a in ABOUTS}
+        for step in range(12):  # over the time between two tellings in a region, twice
+            doors.tick(n + step / 20)
+        for about in ABOUTS:
+            zones = {"z2"} if about.zone == "z2" else {"z0", "z1"}
+            assert doors.fleets[about.ip].elsewhere == doors.out(zones, about.ip)
+    tellers = {(to, doors.heralds[source].peers.me.zone): source for source, to in doors.told}
+    assert set(doors.told) == {(source, to) for (to, _), source in tellers.items()} | {
+        (a.ip, b.ip) for a in ABOUTS for b in ABOUTS if a.zone == b.zone and a != b
+    }
+
+
+def test_another_door_tells_for_one_that_has_left_the_roster() -> None:
+    doors = Doors()
+    doors.outs = {about.ip: {"s1": 1} for about in ABOUTS}
+    doors.tick(1.0)
+    gone = next(source for source, to in doors.told if to == "d0" and source in {"d1", "d4", "d7", "d10"})
+    del doors.heralds[gone]
+    doors.outs[gone] = {}
+    doors.name_doors([row for row in doors.roster if row[0] != gone])
+    doors.told.clear()
+    for step in range(1, 60):
+        doors.tick(1.0 + step / 20)
+        doors.fleets["d0"].forget(1.0 + step / 20)
+    assert doors.fleets["d0"].elsewhere == {"s1": 6}  # three others of its zone, three of the other one
+    assert len({source for source, to in doors.told if to == "d0"} - {"d3", "d6", "d9"}) == 1
+
+
+def test_who_has_nothing_out_says_so_once_and_what_is_told_fits_a_datagram() -> None:
+    doors = Doors()
+    doors.outs["d0"] = {f"s{n}": 1 + (n < 10) for n in range(3 * MOST_NAMES)}
+    doors.tick(1.0)
+    heard = doors.fleets["d3"].elsewhere
+    assert len(heard) == MOST_NAMES and {f"s{n}" for n in range(10)} <= heard.keys()
+    doors.outs["d0"] = {}
+    for step in range(1, 20):
+        doors.tick(1.0 + step / 20)
+    assert not doors.fleets["d3"].elsewhere
+    doors.told.clear()
+    for step in range(20, 60):
+        doors.tick(1.0 + step / 20)
+    assert not doors.told
