Encode a message once, however many doors it goes to

A telling to a zone and news of servers go to many doors, and each time the same message was encoded anew. The mesh keeps the bytes of the last message.

--- a/hive/mesh.py
+++ b/hive/mesh.py
@@ -37,6 +37,8 @@
         self.server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.loop = asyncio.get_running_loop()
+        self.message: dict[str, Any] = {}  # the last one,
+        self.data = b""  # and its bytes
 
     async def start(self) -> None:
         self.transport, _ = await self.loop.create_datagram_endpoint(
@@ -45,7 +47,10 @@
         self.server = await asyncio.start_server(self.accept, self.ip, self.port, limit=1 << 16)
 
     def send(self, to: str, message: dict[str, Any]) -> None:
-        data = cbor2.dumps(message)
+        """One message may go to many, one after another: it is encoded once, and not to be changed between."""
+        if message is not self.message:
+            self.message, self.data = message, cbor2.dumps(message)
+        data = self.data
         if len(data) <= MOST_DATAGRAM:
             if self.transport is not None:
                 with contextlib.suppress(OSError):
--- a/queenless/herald.py
+++ b/queenless/herald.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from queenless.deeds import Changed, Deed, Send
+from queenless.deeds import Changed, Deed, Message, Send
 from swarm.peers import Peers
 from swarm.rendezvous import owner
 from waggle.news import News, Server, home
@@ -33,27 +33,27 @@
         me = self.peers.me.ip
         for service in self.news.listed(now, wall_ms, found):
             deeds.append(Changed(f"service:{service}"))
-            packed = self.news.pack(now, service)
+            message = {"k": "news", "n": self.news.pack(now, service)}
             zones = sorted({row[1] for row in self.peers.roster})
             homes = {home(service, zone, self.peers.doors(zone=zone)) for zone in zones}
             for ip in sorted({*self.peers.others(), *(h for h in homes if h is not None)} - {me}):
-                deeds.append(Send(ip, {"k": "news", "n": packed}))
-            deeds += self.tell_zone(service, packed)
+                deeds.append(Send(ip, message))
+            deeds += self.tell_zone(service, message)
         return deeds
 
     def take(self, now: float, packed: list[Any]) -> list[Deed]:
         """A table that another door told."""
         if not self.news.take(now, packed):
             return []
-        return [Changed(f"service:{packed[0]}"), *self.tell_zone(packed[0], packed)]
+        return [Changed(f"service:{packed[0]}"), *self.tell_zone(packed[0], {"k": "news", "n": packed})]
 
-    def tell_zone(self, service: str, packed: list[Any]) -> list[Deed]:
+    def tell_zone(self, service: str, message: Message) -> list[Deed]:
         """The home door tells the others of its zone."""
         me = self.peers.me
         doors = self.peers.doors(zone=me.zone)
         if home(service, me.zone, doors) != me.ip:
             return []
-        return [Send(ip, {"k": "news", "n": packed}) for ip in doors if ip != me.ip]
+        return [Send(ip, message) for ip in doors if ip != me.ip]
 
     def dance(
         self, now: float, outs: Outs, heard: Mapping[str, tuple[float, Outs]] | None = None
