Tell what changed in a table of servers, not the whole table

With each change of one server's state the list's holder sent the whole table of its service to the core and the home doors, and these to their zones: some 70 bytes a server, by a connection of its own for each door, twice a second while servers are replaced.

Now a change goes round as the rows that moved and the names that went, with the version that it was made from and a sum of the result. It counts on that very table only; a door that has another one asks the nearest core door for the table at once, and beats bring what was lost as before. Where more than half of a table has moved, the table goes.

Ruled out: changes kept for several versions, as asking for the table mends a loss in one round trip.

--- a/queenless/herald.py
+++ b/queenless/herald.py
@@ -33,7 +33,7 @@
         me = self.peers.me.ip
         for service in self.news.listed(now, wall_ms, found):
             deeds.append(Changed(f"service:{service}"))
-            message = {"k": "news", "n": self.news.pack(now, service)}
+            message = {"k": "news", "n": self.news.pack_change(now, service)}
             zones = sorted({row[1] for row in self.peers.roster})
             homes = {home(service, zone, self.peers.doors(zone=zone)) for zone in zones}
             for ip in sorted({*self.peers.others(), *(h for h in homes if h is not None)} - {me}):
@@ -42,10 +42,12 @@
         return deeds
 
     def take(self, now: float, packed: list[Any]) -> list[Deed]:
-        """A table that another door told."""
+        """A table, or a change of one, that another door told; where it cannot be taken, the table is asked for."""
+        service, version = packed[:2]
         if not self.news.take(now, packed):
-            return []
-        return [Changed(f"service:{packed[0]}"), *self.tell_zone(packed[0], {"k": "news", "n": packed})]
+            core = self.peers.others()[:1] if self.news.newer({service: version}) else []
+            return [Send(ip, {"k": "want", "s": service}) for ip in core]
+        return [Changed(f"service:{service}"), *self.tell_zone(service, {"k": "news", "n": packed})]
 
     def tell_zone(self, service: str, message: Message) -> list[Deed]:
         """The home door tells the others of its zone."""
--- a/tests/test_herald.py
+++ b/tests/test_herald.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 from forage.fleet import Fleet
 from queenless.deeds import Deed, Send
 from queenless.herald import MOST_NAMES, Herald, Outs
 from swarm.peers import About, Peers
+from waggle.news import Server
 
 ABOUTS = [About(f"d{n}", f"z{n % 3}", "south" if n % 3 == 2 else "north", False, n) for n in range(12)]
 
@@ -91,3 +93,57 @@
     for step in range(20, 60):
         doors.tick(1.0 + step / 20)
     assert not doors.told
+
+
+def listing(chance: random.Random, old: dict[str, Server]) -> dict[str, Server]:
+    """The next list of a service: some are gone, some have come, some are in another state or cold again."""
+    new = {name: server for name, server in old.items() if chance.random() < 0.95}
+    for name in chance.sample(sorted(new), min(2, len(new))):
+        new[name] = replace(new[name], accepting=chance.random() < 0.5, cold_until=chance.choice([0.0, 9.0]))
+    for _ in range(chance.randrange(3)):
+        name = f"i-{chance.randrange(10**6)}"
+        new[name] = Server(name, f"{name}:1", "z1", True, 2, "v1")
+    return new
+
+
+def test_changes_of_a_table_bring_every_door_what_the_list_says_whatever_is_lost() -> None:
+    chance, reader = random.Random(5), Herald(Peers(replace(ABOUTS[0], disk=True), 0.0))
+    doors = [Herald(Peers(about, 0.0)) for about in ABOUTS[1:4]]
+    for door in doors:
+        door.peers.meet(0.0, reader.peers.me)
+    found = {f"i-{n}": Server(f"i-{n}", f"s{n}:1", "z0", True, 2, "v1") for n in range(40)}
+    sizes, wants = [], 0
+    for step in range(300):
+        found = listing(chance, found)
+        reader.listed(1.0, 1000 + step, {"shop": found})
+        told = reader.news.pack_change(1.0, "shop")
+        sizes.append(len(told[2]))
+        for n, door in enumerate(doors):
+            if chance.random() < 0.1:
+                continue  # lost on its way
+            for deed in door.take(1.0, told):
+                if isinstance(deed, Send) and deed.message["k"] == "want":
+                    wants += 1
+                    assert deed.to == "d0" and door.take(1.0, reader.news.pack(1.0, "shop"))
+            assert door.news.tables["shop"].servers == reader.news.tables["shop"].servers, (step, n)
+        for name, server in reader.news.tables["shop"].servers.items():
+            assert found[name].same(server)  # less time to go until it is warm is no news
+        assert reader.news.tables["shop"].servers.keys() == found.keys()
+    assert 50 < wants < 150 and max(sizes[1:]) < 10
+
+
+def test_a_change_counts_on_no_table_but_the_one_that_it_was_made_from() -> None:
+    one, other = Server("i-1", "s:1", "z0", True, 2, "v1"), Server("i-2", "s:2", "z0", True, 2, "v1")
+    third, fourth = Server("i-3", "s:3", "z0", True, 2, "v1"), Server("i-4", "s:4", "z0", True, 2, "v1")
+    reader, door = Herald(Peers(replace(ABOUTS[0], disk=True), 0.0)), Herald(Peers(ABOUTS[1], 0.0))
+    door.peers.meet(0.0, reader.peers.me)
+    door.listed(1.0, 1000, {"shop": {"i-1": one, "i-3": third, "i-4": fourth}})  # another list, one version
+    reader.listed(1.0, 1000, {"shop": {"i-1": one, "i-2": other, "i-3": third}})
+    reader.listed(1.0, 1500, {"shop": {"i-1": replace(one, accepting=False), "i-2": other, "i-3": third}})
+    change = reader.news.pack_change(1.0, "shop")
+    assert len(change) == 6 and len(change[2]) == 1
+    asked = door.take(1.0, change)
+    assert asked == [Send("d0", {"k": "want", "s": "shop"})]
+    assert door.news.tables["shop"].servers.keys() == {"i-1", "i-3", "i-4"}
+    assert door.take(1.0, reader.news.pack(1.0, "shop")) and door.take(1.0, change) == []
+    assert door.news.tables["shop"].servers == reader.news.tables["shop"].servers
--- a/waggle/news.py
+++ b/waggle/news.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -33,6 +34,13 @@
 class Table:
     version: int = 0
     servers: dict[str, Server] = field(default_factory=dict)
+    before: int = 0  # the version that it came from, where this door read the list, and by which change
+    moved: list[str] = field(default_factory=list)
+    gone: list[str] = field(default_factory=list)
+
+    def check(self) -> int:
+        """What two doors compare to see whether they hold the same servers in the same states."""
+        return zlib.crc32(" ".join(sorted(f"{s.id} {s.accepting:d}" for s in self.servers.values())).encode())
 
 
 def parse(pages: Iterable[bytes], now: float) -> dict[str, dict[str, Server]]:
@@ -56,6 +64,11 @@
     return found
 
 
+def pack(now: float, s: Server) -> list[Any]:
+    cold = round(max(0.0, s.cold_until - now), 2)
+    return [s.id, s.address, s.zone, s.accepting, s.slots, s.release, cold]
+
+
 def unpack(now: float, row: list[Any]) -> Server:
     cold: float = row[6]
     return Server(row[0], row[1], row[2], row[3], row[4], row[5], now + cold if cold else 0.0)
@@ -76,33 +89,47 @@
         changed = []
         for service in {**self.tables, **found}:
             servers, table = found.get(service, {}), self.tables.get(service)
-            if (
-                table is not None
-                and servers.keys() == table.servers.keys()
-                and all(server.same(table.servers[name]) for name, server in servers.items())
-            ):
+            old = table.servers if table is not None else {}
+            moved = [n for n, server in servers.items() if n not in old or not server.same(old[n])]
+            gone = [name for name in old if name not in servers]
+            if table is not None and not moved and not gone:
                 continue
-            before = table.version if table is not None else 0
-            self.tables[service] = Table(max(before + 1, wall_ms), servers)
+            before, told = table.version if table is not None else 0, set(moved)
+            kept = {name: server if name in told else old[name] for name, server in servers.items()}
+            self.tables[service] = Table(max(before + 1, wall_ms), kept, before, moved, gone)
             changed.append(service)
         return changed
 
     def pack(self, now: float, service: str) -> list[Any]:
         """A table as it goes to other doors: times to go instead of times."""
         table = self.tables[service]
-        rows = [
-            [s.id, s.address, s.zone, s.accepting, s.slots, s.release, round(max(0.0, s.cold_until - now), 2)]
-            for s in table.servers.values()
-        ]
-        return [service, table.version, rows]
+        return [service, table.version, [pack(now, s) for s in table.servers.values()]]
+
+    def pack_change(self, now: float, service: str) -> list[Any]:
+        """What the last list has changed in a table, where that is less than half of it; else the table."""
+        table = self.tables[service]
+        if not table.before or 2 * len(table.moved) > len(table.servers):
+            return self.pack(now, service)
+        rows = [pack(now, table.servers[name]) for name in table.moved]
+        return [service, table.version, rows, table.before, table.gone, table.check()]
 
     def take(self, now: float, packed: list[Any]) -> bool:
-        """A table that another door told; whether it is news."""
-        service, version, rows = packed
+        """A table, or a change of one, that another door told; whether it is news that could be taken.  A change
+        counts only on the very table that it was made from."""
+        service, version, rows, *change = packed
         table = self.tables.get(service)
         if table is not None and version <= table.version:
             return False
-        self.tables[service] = Table(version, {r[0]: unpack(now, r) for r in rows})
+        new = Table(version, {r[0]: unpack(now, r) for r in rows})
+        if change:
+            before, gone, check = change
+            if table is None or table.version != before:
+                return False
+            left = table.servers.keys() - gone
+            new.servers = {n: s for n, s in table.servers.items() if n in left} | new.servers
+            if new.check() != check:
+                return False
+        self.tables[service] = new
         return True
 
     def newer(self, told: dict[str, int]) -> list[str]:
