--- a/hive/door.py
+++ b/hive/door.py
@@ -37,8 +37,8 @@
 from waggle.news import parse
 
 LEAST_CONNECTIONS = 4  # to one server, however many doors share it
-TICK = 0.05  # seconds, while requests are here: well under the time for a lease's call
-CORE_TICK = 0.1  # seconds, for the core, and where no request is here: a quarter of a beat
+TICK = 0.05  # seconds: an eighth of a beat, and well under the time for a lease's call
+CALM = 0.1  # seconds for looks at the core where a ready door keeps no word: a quarter of a beat
 CONNECT = 0.3  # seconds for a connection to a server: a lost opening packet comes again only after a second
 IDLE = 9.0  # seconds that servers keep idle connections at least, where they do not say
 STALE = 0.9  # part of the time for a revocation after which keyed requests stop where nothing fresh was heard
@@ -163,13 +163,14 @@
 
     def tick(self) -> None:
         now = self.loop.time()
-        if now - self.core_ticked > CORE_TICK - TICK / 2:
+        calm = CALM if self.core.ready and self.store is None else TICK  # else duties or a start wait for it
+        if now - self.core_ticked > calm - TICK / 2:
             self.core_ticked = now
             self.core_tick(now)
         self.carrier.post(Tick())  # type: ignore[arg-type]
         fleet = self.forager.fleet
         self.carry_out(self.core.herald.dance(now, fleet.outs(), fleet.dances))
-        self.timer = self.loop.call_later(TICK if self.forager.jobs else CORE_TICK, self.tick)
+        self.timer = self.loop.call_later(TICK if self.forager.jobs else calm, self.tick)
 
     def core_tick(self, now: float) -> None:
         self.freshen(now)
