Model: rounds begin when the schedule says so, and ballots are kept apart as the program does

Two faults of the model: a door whose round was ended by news began the next at once, beyond the bound of rounds; and the count of its last ballot was left out, so that a door without a seat, which promises itself nothing, used a ballot twice. The model then showed a version 4 that no disk held; the program keeps the count. Now rounds begin only by the schedule's word, and the count stays. A door without a disk that has two orders, two members taken out by hand and a count that is forgotten (found) are added.

--- a/tests/control_door.py
+++ b/tests/control_door.py
@@ -7,13 +7,14 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from comb.state import NO_BALLOT, ballot_of
+from comb.state import NO_BALLOT, Ballot, State, ballot_of
 from queenless.control import Control
 from queenless.deeds import Message
 from queenless.membership import Membership
 from queenless.orders import Order
 from swarm.peers import About, Peers
 
+NEVER = float("inf")
 LOOKED = 0.5  # seconds after an order: long enough that it takes a round, too short to end for want of one
 
 
@@ -22,10 +23,15 @@
 
     def __init__(self, about: About, records: dict[str, bytes], first: bool, seeds: list[str]) -> None:
         super().__init__(0.0, Peers(about, 0.0), records, first, seeds)
-        self.first, self.records, self.clock, self.may_begin = first, records, 0, False
+        self.orders.pause_until = NEVER
+        self.first, self.records, self.clock = first, records, 0
 
     def busy(self, now: float, source: str, base: int) -> bool:
-        return source == self.peers.me.ip and not self.may_begin
+        return False  # a round that was let in keeps no other out: its time may be over
+
+    def learn(self, now: float, ballot: Ballot, state: State, word: bytes | None) -> None:
+        super().learn(now, ballot, state, word)
+        self.orders.pause_until = NEVER  # or a round would begin at once
 
     @property
     def now(self) -> float:
--- a/tests/control_model.py
+++ b/tests/control_model.py
@@ -23,7 +23,7 @@
 from queenless.orders import Done, Order
 from swarm.peers import About, Peers
 
-from .control_door import Door, Event, once, spent_at
+from .control_door import NEVER, Door, Event, once, spent_at
 from .control_rules import Disk, chain, copies, kept, unread
 
 T = TypeVar("T")
@@ -138,7 +138,7 @@
         door.held_up, door.queued = once(door.held_up), once(door.queued)
         orders, answering = door.orders, door.peers.me.ip not in self.case.deaf
         orders.answers = lambda now, member: answering
-        orders.count = 0  # a round's is given, and never below what its door has promised
+        orders.pause_until = NEVER
         if not any(order.began <= orders.sure_since for order in orders.open):
             orders.sure_since = -1e9  # it says nothing of orders that come later
         state = door.register.state
@@ -178,9 +178,8 @@
             if not orders.open or held.state is None or what <= highest:
                 return None
             orders.give_up(door.now)
-            orders.count, orders.pause_until, door.may_begin = what - 1, -1e9, True
+            orders.count, orders.pause_until = what - 1, -1e9
             deeds = door.proceed(door.now)
-            door.may_begin = False
             return self.finish(door, deeds) if orders.round is not None else None
         if isinstance(what, str):  # word of a newer state at another door
             if old.register.state is not None:
--- a/tests/test_control_model.py
+++ b/tests/test_control_model.py
@@ -1,8 +1,9 @@
 """Every schedule of small cores is seen: what was decided or confirmed stays so; each mend taken out is found.
 
-The bounds: one or two orders beside changes of members, at most one loss of power, one failed save and one wiped disk;
-two to four rounds of all doors together, with ballots of the counts that a case names.  Saves take a step of their own
-at the door that loses power; elsewhere a late save is no more than a late answer.
+The bounds: one or two orders beside changes of members; at most one loss of power, one failed save and one wiped disk;
+two to four rounds of all doors together, with ballots of the counts that a case names; a wiped door asks others only
+until it knows a state.  Saves take a step of their own at the door that loses power; elsewhere a late save is no more
+than a late answer.
 """
 
 from __future__ import annotations
@@ -18,7 +19,7 @@
 from comb.register import Register
 from comb.state import NO_BALLOT, Member, State
 from queenless.control import Control
-from queenless.orders import Founding, Order, Orders
+from queenless.orders import Ask, Founding, Order, Orders
 from swarm.peers import About
 
 from .control_door import Door, Event
@@ -100,11 +101,20 @@
     )
 
 
-def fewer(count: int, rounds: int) -> Case:
-    """An operator takes a member out for good, while an order races."""
-    order = Order(4, 0.0, "retire", member=Member("d3"), by_hand=True)
-    events = [put("d1", 1, b"a"), Event("order", "d2", order, name="takes d3 out")]
-    return Case(core("d1", "d2", "d3"), events, upto(count, "d1", "d2"), rounds)
+def by_hand(count: int, rounds: int) -> Case:
+    """Operators take out two members, each by an order to the other, while a third door has an order of its own."""
+    events = [put("d3", 1, b"a")]
+    for token, ip, other in ((4, "d1", "d2"), (5, "d2", "d1")):
+        order = Order(token, 0.0, "retire", member=Member(other), by_hand=True)
+        events.append(Event("order", ip, order, name=f"takes {other} out"))
+    counts = {**upto(count, "d1"), **upto(count + 1, "d2"), "d3": (count,)}
+    return Case(core("d1", "d2", "d3"), events, counts, rounds)
+
+
+def bare(count: int, rounds: int) -> Case:
+    """A door without a disk, and so without promises of its own, has two orders after each other."""
+    orders = [put("d4", 1, b"a"), put("d4", 2, b"b", number=3)]
+    return Case(core("d1", "d2", "d3", bare="d4"), orders, upto(count, "d4"), rounds)
 
 
 def reader(count: int, rounds: int) -> Case:
@@ -134,8 +144,9 @@
     "a member comes back with its disk": lambda: restart("d3", count=1, rounds=2),
     "a proposer comes back with its disk": lambda: restart("d2", count=1, rounds=2, fails=True),
     "a wiped disk joins by a new number": lambda: wipe(1, count=2, rounds=2),
-    "from three to four to three": lambda: change("d3", "d2", 3, d1=(2,), d2=(2,), d4=(1,)),
-    "a member is taken out by hand": lambda: fewer(count=2, rounds=3),
+    "from three to four to three": lambda: change("d3", "d2", 3, d1=(1, 2), d2=(2,), d4=(1,)),
+    "two members are taken out by hand": lambda: by_hand(count=2, rounds=3),
+    "a door without a disk": lambda: bare(count=2, rounds=2),
     "a read after a confirmation": lambda: reader(count=2, rounds=2),
     "two foundings": lambda: founding(count=2, rounds=4),
 }
@@ -230,6 +241,16 @@
     patch.setattr(Orders, "promised", blind)
 
 
+def count_forgotten(patch: Patch) -> None:
+    step = Orders.step
+
+    def forgetful(orders: Orders, now: float) -> list[Ask]:
+        orders.count = 0  # a door without a seat promises nothing that would keep its ballots apart
+        return step(orders, now)
+
+    patch.setattr(Orders, "step", forgetful)
+
+
 def highest_digest(patch: Patch) -> None:
     apply = Order.apply
 
@@ -271,3 +292,10 @@
     found = explore(name, told_only)
     assert fault in found.fault
     assert any("begins a round" in line for line in found.schedule)
+
+
+def test_a_ballot_that_is_used_twice_is_found(monkeypatch: Patch) -> None:
+    """All messages are kept here: that some can do nothing any more is true of ballots that are used once."""
+    count_forgotten(monkeypatch)
+    found = Explorer(CASES["a door without a disk"](), keep_all=True).explore(MOST)
+    assert "version 2 is on 0 disks of 3" in found.fault, str(found)
