Red: Register.on_disk grows by one name with each configuration

take_records adds the name of each record it gives and never takes one out, also not where the record is removed. After 200 changes it holds 202 names, where four records are on disk: memory that grows with changes. The test fails until the removed names leave the set; what is on disk itself does not grow.

--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -306,3 +306,13 @@
     first = Founding(0, 0.0, "found", members=SEATS)
     assert first.apply(start) == replace(start, members=SEATS, size=3)
     assert first.apply(FIRST) is FIRST
+
+
+def test_what_is_known_of_the_disk_does_not_grow_with_changes() -> None:
+    register, state = Register(1, True), FIRST
+    for number in range(200):
+        state = with_word(b"%03d" % number, number, state)
+        register.accept((number + 1, 7, "d1"), state, b"body")
+        register.learn((number + 1, 7, "d1"), state)
+        register.take_records()
+    assert len(register.on_disk) <= 4  # disk, vote, decided, and one configuration
