Forget the names of configurations that were removed from the disk, and look for news only where some was told

And each message made a core door look through all that its peers had told of servers, which changes only with an answer that tells of its sender's state.

Change: a removed record's name goes, and comes back where its removal failed; the look follows such answers and the tick. Core.dance had no caller any more.

--- a/comb/register.py
+++ b/comb/register.py
@@ -122,11 +122,13 @@
                     found[name] = word
         self.stale.clear()
         self.on_disk |= found.keys()
+        self.on_disk -= {name for name, body in found.items() if body is None}
         return found
 
     def not_saved(self, records: Mapping[str, bytes | None]) -> None:
-        """A save has failed: its records are still to be written."""
+        """A save has failed: its records are still to be written, and what was to be removed is still there."""
         self.stale |= records.keys()
+        self.on_disk |= records.keys()
 
 
 def load(records: Mapping[str, bytes], disk: int, first: bool) -> Register:
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -198,10 +198,6 @@
             return []
         return self.herald.listed(now, wall_ms, found)
 
-    def dance(self, now: float, outs: dict[str, int]) -> list[Deed]:
-        """Tell others where this door's requests are."""
-        return self.herald.dance(now, outs)
-
     # --- quotas -----------------------------------------------------------------------------------------------
 
     def lease(self, now: float, tenant: str, number: int, units: float) -> list[Deed]:
@@ -263,7 +259,8 @@
                 self.deeds.append(Granted(message["n"], message["q"], message["u"], left, filled))
             case "lost":
                 self.deeds.append(Lapsed(message["n"]))
-        self.mend(now)
+        if "z" in message:  # it told of news; what is not answered in time is asked for again with a tick
+            self.mend(now)
         self.deeds += self.control.proceed(now)
         return self.deeds
 
