Play hollow doors on simulated time and measure what each role costs as the fleet grows

bench/scale.py plays the program's own cores, many in one process, through rest, news, a change, a storm, restarts, a lost zone, cut regions and the peak; it counts messages by kind, encoded bytes and processor time by role, and weighs what a role holds. Configurations of 100 to 57,000 routes, lists of 400 to 40,000 servers and one real door on loopback are measured beside it. All that it knows of the program stands in bench/scale/program.py. The page's tables are made from the figures.

Ruled out: growing services with the doors, as one message among 2,300 services costs so much that 4,500 doors would take hours; they are measured among 60 doors and added by price and rate.

--- /dev/null
+++ b/bench/scale/cli.py
@@ -0,0 +1,105 @@
+"""The verbs of the scale run: each part in a process of its own, its figures kept beside the command that gave them."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import multiprocessing
+import subprocess
+import time
+from collections.abc import Callable, Sequence
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from pathlib import Path
+from typing import Any
+
+from bench.scale import carry, page, parts, phases, words
+from bench.scale.figures import FOLDER, ROOT, keep
+
+DOORS = (30, 100, 300, 1000, 4500)
+SMALL = 1000  # doors up to which a size is played twice, for the spread of its slopes, and whole
+SERVICES = (20, 60, 200, 600, 2300)
+AMONG = 60  # doors among which services grow: at 2,300, a message costs a hundred times as much as at 20
+ROUTES = (100, 1000, 5700, 19_000, 57_000)
+SERVERS = (400, 1300, 4000, 13_000, 40_000)
+PER_SERVICE = 17.4  # servers: 40,000 of 2,300
+
+PLAIN = ["queenless", "comb", "swarm", "waggle", "forage", "nectar", "hive"]  # what the figures are of
+
+
+def revision() -> str:
+    """Of the program that was measured; a + where it was changed since."""
+
+    def git(*words: str) -> str:
+        return subprocess.run(
+            ["git", *words], cwd=ROOT, capture_output=True, text=True, check=True
+        ).stdout.strip()
+
+    return git("log", "-1", "--format=%h", "--", *PLAIN) + (
+        "+" if git("status", "--short", "--", *PLAIN) else ""
+    )
+
+
+def fleet(doors: int, run: int) -> tuple[str, Any]:
+    return f"fleet-{doors}-{run}", phases.play(doors, names=phases.PHASES if doors <= SMALL else phases.FEW)
+
+
+def services(number: int) -> tuple[str, Any]:
+    of = ("rest", "news", "lease")
+    return f"services-{number}", phases.play(AMONG, number, int(number * PER_SERVICE), of)
+
+
+def route(number: int) -> tuple[str, Any]:
+    return f"words-{number}", words.measure(number)
+
+
+def part(number: int) -> tuple[str, Any]:
+    return f"parts-{number}", parts.measure(number)
+
+
+def carried() -> tuple[str, Any]:
+    return "carry", carry.measure()
+
+
+Work = tuple[Callable[..., tuple[str, Any]], tuple[int, ...]]
+
+
+def works(verb: str, doors: Sequence[int]) -> list[Work]:
+    """What a verb runs, the longest first."""
+    found: list[Work] = []
+    if verb in ("all", "fleet"):
+        sizes = sorted(doors, reverse=True)
+        found += [(fleet, (size, run)) for size in sizes for run in (1, 2) if run == 1 or size <= SMALL]
+    if verb in ("all", "services"):
+        found += [(services, (number,)) for number in reversed(SERVICES)]
+    if verb in ("all", "words"):
+        found += [(route, (number,)) for number in reversed(ROUTES)]
+    if verb in ("all", "parts"):
+        found += [(part, (number,)) for number in reversed(SERVERS)]
+    return found
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(
+        prog="bench/scale.py", description="What each role costs as the fleet grows."
+    )
+    parser.add_argument("verb", choices=("all", "fleet", "services", "words", "parts", "carry", "page"))
+    parser.add_argument("--doors", type=int, nargs="+", default=list(DOORS), help="sizes of the fleet")
+    parser.add_argument("--jobs", type=int, default=3, help="processes at once (3)")
+    chosen = parser.parse_args(arguments)
+    FOLDER.mkdir(exist_ok=True)
+    source = {"command": f"bench/scale.py {chosen.verb}", "revision": revision()}
+    todo, began = works(chosen.verb, chosen.doors), time.monotonic()
+    if todo:
+        context = multiprocessing.get_context("spawn")
+        with ProcessPoolExecutor(chosen.jobs, context, max_tasks_per_child=1) as pool:
+            for future in as_completed([pool.submit(what, *given) for what, given in todo]):
+                name, found = future.result()
+                keep(name, source, found)
+                print(f"{time.monotonic() - began:6.0f} s  {name}", flush=True)
+    if chosen.verb in ("all", "carry"):  # alone, as others would take its time
+        name, found = carried()
+        keep(name, source, found)
+        print(json.dumps(found, indent=1))
+    if chosen.verb in ("all", "page"):
+        print(page.renew(Path(ROOT) / "docs" / "CAPACITY.md"))
+    return 0
--- /dev/null
+++ b/bench/scale/page.py
@@ -0,0 +1,190 @@
+"""The tables of docs/CAPACITY.md, made from the figures at hand; the text around their places stays."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+from bench.scale import model
+from bench.scale.figures import slope
+from bench.scale.model import Figures
+
+MARK = "<!-- made by bench/scale.py: {} -->"
+END = "<!-- end -->"
+
+
+def number(value: float | None) -> str:
+    """Three digits; a dash where it was not played, or not true in 10 s."""
+    if value is None:
+        return "-"
+    if value == 0 or abs(value) < 0.0005:
+        return "0"
+    return f"{value:,.0f}" if abs(value) >= 100 else f"{value:.3g}"
+
+
+def table(head: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
+    lines = ["| " + " | ".join(row) + " |" for row in [head, ["---"] * len(head), *rows]]
+    return "\n".join(lines)
+
+
+Row = tuple[str, Callable[[Any], float | None]]
+
+
+def value(of: Callable[[Any], float | None], play: Any) -> float | None:
+    """A figure; none where the phase was not played at this size or nothing came true in time."""
+    try:
+        return of(play)
+    except KeyError:
+        return None
+
+
+def grown(
+    sizes: Sequence[int], runs: Sequence[Sequence[Any]], rows: Sequence[Row], fitted: int = 0
+) -> list[list[str]]:
+    """A row for each figure: its value at each size, its power, and how far a second run's power is from that."""
+    found = []
+    for name, of in rows:
+        values = [value(of, each[0]) for each in runs]
+        cells = [name, *map(number, values)]
+        known = [(s, v) for s, v in zip(sizes, values, strict=True) if v][-fitted:]
+        cells.append(f"{slope(*zip(*known, strict=True)):.2f}" if len(known) > 1 else "")
+        again = [(s, each) for s, each in zip(sizes, runs, strict=True) if len(each) > 1]
+        if len(again) > 1:
+            both = [
+                slope([s for s, _ in again], [value(of, each[run]) or 0 for _, each in again])
+                for run in (0, 1)
+            ]
+            cells.append(f"{abs(both[0] - both[1]):.2f}")
+        found.append(cells)
+    return found
+
+
+def fleet(f: Figures) -> str:
+    rest = model.load("rest")
+    rows: list[Row] = [
+        ("core member: messages in, a s", lambda p: rest(p, "core", "came")),
+        ("core member: KB/s in and out", lambda p: model.traffic(p, "rest", "core")),
+        ("core member: processor %", lambda p: model.processor(p, "rest", "core")),
+        ("core member: a tick, µs", lambda p: model.price(p, "rest", "core tick")),
+        ("core member: a beat, µs", lambda p: model.price(p, "rest", "core beat")),
+        ("core member: state, KB", lambda p: model.held(p, "core")),
+        ("door: KB/s in and out", lambda p: model.traffic(p, "rest", "door")),
+        ("door: processor %", lambda p: model.processor(p, "rest", "door")),
+        ("door: state, KB", lambda p: model.held(p, "door")),
+        ("door: KB that one restart elsewhere costs", lambda p: model.extra(p, "one restart", "door")),
+        ("core, the first by name: KB of it", lambda p: model.extra(p, "one restart", "list")),
+        ("door: KB/s more at the peak", lambda p: model.more(p, "peak", "door")),
+        ("door: messages in, a s, at the peak", lambda p: model.load("peak")(p, "door", "came")),
+        ("a change in force everywhere, s", lambda p: model.waited(p, "change", "in force everywhere")),
+        ("settled after one restart, s", lambda p: model.waited(p, "one restart", "settled after the start")),
+        ("the same, a tenth", lambda p: model.waited(p, "a tenth restarts", "settled after the start")),
+    ]  # fmt: skip
+    sizes = sorted(f.fleet)
+    head = ["by doors (20 services)", *(f"{size:,}" for size in sizes), "power", "second run"]
+    return table(head, grown(sizes, [f.fleet[size] for size in sizes], rows, 3))
+
+
+def others(f: Figures) -> str:
+    """Growth by services, by routes, by servers."""
+    services: list[Row] = [
+        ("door: an echo, µs", lambda p: model.price(p, "rest", "door echo")),
+        ("door: a tick, µs", lambda p: model.price(p, "rest", "door tick")),
+        ("core member: a beat, µs", lambda p: model.price(p, "rest", "core beat")),
+        ("counter: a call, µs", lambda p: model.price(p, "leases", "core lease")),
+        ("door: KB for one news", lambda p: model.extra(p, "news", "door")),
+    ]
+    words: list[Row] = [
+        ("bytes, MB", lambda w: w["bytes"] / 1e6), ("packed, MB", lambda w: w["packed"] / 1e6),
+        ("check, s", lambda w: w["check_s"]), ("read, s", lambda w: w["read_s"]),
+        ("memory held, MB", lambda w: w["held"] / 1e6), ("memory while reading, MB", lambda w: w["read_peak"] / 1e6),
+    ]  # fmt: skip
+    parts: list[Row] = [
+        ("the platform's list, MB", lambda p: p["list_bytes"] / 1e6),
+        ("to parse and compare it, ms", lambda p: 1000 * (p["parse_s"] + p["look_s"])),
+        ("one dance taken in, ms", lambda p: 1000 * p["dance_s"]),
+        ("a server chosen, µs", lambda p: 1e6 * p["choose_s"]),
+        ("tables of servers, MB", lambda p: (p["news_held"] + p["fleet_held"]) / 1e6),
+    ]
+    texts = []
+    for title, of, rows in (
+        ("by services, 60 doors", f.services, services), ("by routes", f.words, words), ("by servers", f.parts, parts),
+    ):  # fmt: skip
+        sizes = sorted(of)
+        body = grown(sizes, [[of[size]] for size in sizes], rows, 3)
+        texts.append(table([title, *(f"{size:,}" for size in sizes), "power"], body))
+    return "\n\n".join(texts)
+
+
+def roles(f: Figures) -> str:
+    head = ["at the target", "at rest: messages/s", "KB/s", "core %", "peak KB/s; %", "changes KB/s; %",
+            "5,000 restarts a day KB/s", "a zone lost KB/s; %", "all apart KB/s; %",
+            "state MB", "disk MB", "connections/s"]  # fmt: skip
+    rows = []
+    for role, title in model.ROLES.items():
+        r = model.role(f, role)
+        pair = {
+            name: f"{number(r[name][0])}; {number(r[name][1])}"
+            for name in ("peak", "change", "zone", "apart")
+        }
+        rows.append([
+            title, number(r["messages"]), number(r["rest"][0]), number(r["rest"][1]), pair["peak"], pair["change"],
+            number(r["restarts"]), pair["zone"], pair["apart"], number(r["memory"]),
+            number(r["disk"]), number(r["calls"]),
+        ])  # fmt: skip
+    return table(head, rows)
+
+
+def budgets(f: Figures) -> str:
+    rows = []
+    for name, budget, measured, unit in model.budgets(f):
+        factor = measured / budget
+        verdict = f"**missed by {number(factor)}**" if factor > 1 else f"kept by {number(1 / factor)}"
+        rows.append([name, f"{number(budget)} {unit}", f"{number(measured)} {unit}", verdict])
+    return table(["budget", "is", "would be", ""], rows)
+
+
+def carry(f: Figures) -> str:
+    rows = []
+    for name in ("no quota", "a quota"):
+        full = f.carry[name]
+        rows.append([f"full, {name}", number(full["a_second"]), f"{full['cpu_ms']:.3f}",
+                     *(f"{full[p]:.2f}" for p in ("p50_ms", "p99_ms")), "", ""])  # fmt: skip
+    for name, of in f.carry.items():
+        if name.startswith("pace"):
+            through, direct = of["through"], of["direct"]
+            rows.append([
+                f"at {name[5:]} of that", number(through["a_second"]), "",
+                *(f"{through[p]:.2f}" for p in ("p50_ms", "p99_ms")),
+                *(f"{direct[p]:.2f}" for p in ("p50_ms", "p99_ms")),
+            ])  # fmt: skip
+    head = [
+        "one door",
+        "requests/s",
+        "processor ms each",
+        "half ms",
+        "99 in 100 ms",
+        "direct: half",
+        "99 in 100",
+    ]
+    return table(head, rows)
+
+
+def put(text: str, made: dict[str, str], path: Path) -> str:
+    """A page's text with its tables in their places; one without a place raises ValueError."""
+    for name, block in made.items():
+        mark = MARK.format(name)
+        before, found, rest = text.partition(mark + "\n")
+        _, end, after = rest.partition(END)
+        if not found or not end:
+            raise ValueError(f"{path}: there is no place for {name}")
+        text = f"{before}{found}{block}\n{end}{after}"
+    return text
+
+
+def renew(path: Path) -> str:
+    figures = Figures()
+    makers = (budgets, roles, fleet, others, carry)
+    made = {make.__name__: make(figures) for make in makers}
+    path.write_text(put(path.read_text(), made, path))
+    return f"{path}: {len(made)} tables"
--- /dev/null
+++ b/bench/scale/program.py
@@ -0,0 +1,204 @@
+"""All that the scale run knows of the program: one hollow door, its roles and deeds.  It follows the program here."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from comb.check import check
+from comb.copies import WORD, Item, Save
+from comb.word import read
+from forage.fleet import Fleet
+from nectar.bounds import QuotaRule
+from nectar.counter import Counter
+from nectar.credits import Credits
+from queenless.core import LIST, SHARDS, Core, Start
+from queenless.deeds import Deed, Mark, Message, Poll, Send
+from queenless.orders import Done
+from swarm.peers import About
+from waggle.news import News, Server, home, parse
+
+TICK = 0.05  # seconds between two ticks of a door, as hive.door has it
+SYNC = 0.002  # seconds of a write to disk
+REVOCATION = 5.0  # seconds, as the sites have it
+FRESH = 0.9 * REVOCATION  # without fresh word after which keyed requests stop, as hive.door has it,
+READY = 0.5 * REVOCATION  # and clients are sent elsewhere
+
+Listing = dict[str, dict[str, Server]]
+
+
+def listing(services: int, servers: int, zones: int) -> Listing:
+    """A platform's list of so many services and servers, spread over the zones."""
+    found: Listing = {f"service-{n}": {} for n in range(services)}
+    for n in range(servers):
+        name = f"i-{n:05d}"
+        address = f"10.{n >> 16 & 255}.{n >> 8 & 255}.{n & 255}:8080"
+        found[f"service-{n % services}"][name] = Server(name, address, f"zone-{n % zones}", True, 3, "v1")
+    return found
+
+
+@dataclass(slots=True)
+class Effects:
+    """What a call of a core has brought about."""
+
+    sends: list[tuple[str, Message]] = field(default_factory=list)
+    saves: list[Item] = field(default_factory=list)
+    done: list[tuple[int, bool]] = field(
+        default_factory=list
+    )  # orders that ended, and whether they were taken
+
+
+def check_word(body: bytes) -> int:
+    """As the desk has a configuration checked."""
+    return check(body)
+
+
+def read_word(body: bytes) -> object:
+    """As each door reads a configuration; what it holds of it from then on."""
+    return read(body)
+
+
+def parse_list(page: bytes) -> Listing:
+    return parse([page], 0.0)
+
+
+def news_of(found: Listing) -> News:
+    """What a door knows of servers once a list has come."""
+    news = News()
+    news.listed(0.0, 1, found)
+    return news
+
+
+def look_again(news: News, found: Listing) -> list[str]:
+    return news.listed(1.0, 2, found)
+
+
+def fleet_of(found: Listing, zones: dict[str, str]) -> Fleet:
+    """What the way of a request is chosen from."""
+    fleet = Fleet("zone-0", zones["zone-0"], zones, random.Random(1))
+    for service, servers in found.items():
+        fleet.listed(0.0, service, servers.values(), 0.0)
+    return fleet
+
+
+def danced(fleet: Fleet, door: str, outs: dict[str, int]) -> None:
+    """What a door does with another's word of its requests."""
+    fleet.danced(1.0, door, outs)
+    fleet.sum_up(1.0)
+
+
+def choose(fleet: Fleet, service: str) -> object:
+    return fleet.choose(1.0, service, "route", 0.4, frozenset(), False, frozenset(), set())
+
+
+def credits_of(tenants: int, doors: int) -> Credits:
+    """Leases of so many tenants at one door."""
+    credits = Credits(QuotaRule())
+    for n in range(tenants):
+        credits.take(0.0, f"tenant-{n:06d}", 10.0, 10.0, n, doors)
+    return credits
+
+
+def counter_of(tenants: int) -> Counter:
+    counter = Counter(QuotaRule().window)
+    for n in range(tenants):
+        counter.lease(0.5, 2.0, f"tenant-{n:06d}", 1.0, 30.0)
+    return counter
+
+
+class Hollow:
+    """One door: the program's own core, with a disk that outlives it; sockets and clients are left out."""
+
+    def __init__(self, ip: str, zone: str, region: str, disk: bool, seeds: list[str]) -> None:
+        self.place, self.disk, self.seeds = (ip, zone, region), disk, seeds
+        self.ip, self.zone, self.region = self.place
+        self.items: dict[str, Item] = {}
+        self.marks: dict[str, bytes] = {}
+        self.lives = 0
+        self.core: Core | None = None
+        self.listing: Callable[[], Listing] = dict
+
+    def start(self, now: float, first: bool) -> None:
+        self.lives += 1
+        life = (1_700_000_000_000 + int(now * 1000)) << 8 | self.lives & 255  # as wide as a real one
+        start = Start(About(*self.place, self.disk, life), self.seeds, first)
+        if self.disk:
+            start.kept, start.voice = list(self.items.values()), "voice" in self.marks
+            start.core = json.loads(self.marks.get("core", b"[]"))
+            start.doors = int(self.marks.get("doors", b"0"))
+        self.core = Core(now, start, QuotaRule().window, lambda tenant: 30.0)
+
+    def effects(self, now: float, deeds: list[Deed]) -> Effects:
+        found = Effects()
+        while deeds:
+            more: list[Deed] = []
+            for deed in deeds:
+                match deed:
+                    case Send():
+                        found.sends.append((deed.to, deed.message))
+                    case Save():
+                        found.saves.append(deed.item)
+                    case Mark():
+                        self.marks[deed.name] = deed.body
+                    case Poll():
+                        more += self.known().listed(now, int(now * 1000), self.listing())
+                    case Done():
+                        found.done.append((deed.token, deed.good))
+                    case _:
+                        pass
+            deeds = more
+        return found
+
+    def known(self) -> Core:
+        assert self.core is not None
+        return self.core
+
+    # --- what the world and the phases call: each returns deeds for `effects` -------------------------------
+
+    def tick(self, now: float) -> list[Deed]:
+        core = self.known()
+        core.ready = self.number() >= 0 and now - core.fresh_at(now) <= READY
+        return core.tick(now)
+
+    def heard(self, now: float, source: str, message: Message) -> list[Deed]:
+        return self.known().heard(now, source, message)
+
+    def synced(self, now: float, item: Item) -> list[Deed]:
+        self.items[item.key] = item
+        return self.known().saved(now, item, True)
+
+    def put(self, now: float, token: int, number: int) -> list[Deed]:
+        body = json.dumps({"versionNumber": f"r{number}", "resourceList": []}).encode()
+        return self.known().put(now, token, body)
+
+    def dance(self, now: float, outs: dict[str, int]) -> list[Deed]:
+        return self.known().dance(now, outs)
+
+    def lease(self, now: float, tenant: str, number: int) -> list[Deed]:
+        return self.known().lease(now, tenant, number, 1.0)
+
+    # --- what is looked at ----------------------------------------------------------------------------------
+
+    def fresh(self, now: float) -> bool:
+        return now - self.known().fresh_at(now) <= FRESH
+
+    def number(self) -> int:
+        """Of the configuration in force here; below 0 where there is none."""
+        return self.known().copies.stamp(WORD)[0]
+
+    def versions(self) -> dict[str, int]:
+        return self.known().news.versions()
+
+    def counted(self) -> int:
+        """Doors that this one knows of as ready."""
+        return len(self.known().peers.doors())
+
+    def duties(self, now: float) -> set[str]:
+        """Roles by duty: `list`, `counter`."""
+        held = [duty for duty in range(SHARDS + 1) if self.known().duties.until(duty) > now]
+        return {"list" if duty == LIST else "counter" for duty in held}
+
+    def is_home(self, service: str) -> bool:
+        return home(service, self.zone, self.known().peers.doors(zone=self.zone)) == self.ip
--- /dev/null
+++ b/bench/scale/world.py
@@ -0,0 +1,216 @@
+"""Many hollow doors on simulated time: links that delay and are cut, messages and processor time counted by role.
+
+Messages are handed on as they are and encoded and decoded aside, so that their size and the time for it count;
+what the doors of one process share by that is counted for each of them by `weigh`.
+"""
+
+from __future__ import annotations
+
+import gc
+import heapq
+import itertools
+import random
+import sys
+import time
+import types
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import cbor2
+
+from bench.scale.program import SYNC, TICK, Effects, Hollow, Listing, listing
+
+NEAR, FAR = 0.001, 0.020  # seconds one way inside a region and between regions
+MOST_DATAGRAM = 1200  # bytes; what is larger takes a connection of its own, as hive.mesh has it
+ZONES, REGIONS, CORE = 34, 17, 15  # of the target
+
+
+@dataclass(slots=True)
+class Meter:
+    """What a door has sent, got and used; seconds of processor time in its core and for its messages' encoding."""
+
+    out: int = 0
+    out_bytes: int = 0
+    came: int = 0
+    came_bytes: int = 0
+    calls: int = 0  # connections for large messages
+    core: float = 0.0
+    codec: float = 0.0
+
+    def since(self, before: Meter) -> list[float]:
+        return [getattr(self, name) - getattr(before, name) for name in Meter.__slots__]
+
+    def copy(self) -> Meter:
+        return Meter(*(getattr(self, name) for name in Meter.__slots__))
+
+
+@dataclass(slots=True)
+class Kind:
+    """All messages of one kind at one role, or ticks: how many came, bytes, seconds to handle them."""
+
+    count: int = 0
+    bytes: int = 0
+    seconds: float = 0.0
+
+
+@dataclass(slots=True)
+class Size:
+    """An encoded message: bytes, seconds to encode and to decode."""
+
+    bytes: int
+    dumps: float
+    loads: float
+
+
+def measure(message: Any) -> Size:
+    began = time.process_time()
+    data = cbor2.dumps(message)
+    between = time.process_time()
+    cbor2.loads(data)
+    return Size(len(data), between - began, time.process_time() - between)
+
+
+@dataclass(slots=True)
+class Sizes:
+    """Sizes of messages; a list that goes to many is encoded once here, and counts each time."""
+
+    held: dict[int, tuple[list[Any], Size]] = field(default_factory=dict)
+
+    def of(self, message: dict[str, Any]) -> Size:
+        rows = message.get("s")
+        if message["k"] != "echo" or not isinstance(rows, list):
+            return measure(message)
+        if id(rows) not in self.held:
+            if len(self.held) > 64:
+                self.held.clear()
+            self.held[id(rows)] = (rows, measure(rows))
+        whole = self.held[id(rows)][1]
+        rest = measure({key: value for key, value in message.items() if key != "s"})
+        return Size(rest.bytes + 2 + whole.bytes, rest.dumps + whole.dumps, rest.loads + whole.loads)
+
+
+def weigh(root: object) -> int:
+    """Bytes of all that an object holds, as if it shared none of it; code and classes are left out."""
+    seen: set[int] = set()
+    todo, total = [root], 0
+    while todo:
+        thing = todo.pop()
+        if id(thing) in seen or isinstance(thing, type | types.ModuleType | types.FunctionType):
+            continue
+        seen.add(id(thing))
+        total += sys.getsizeof(thing)
+        todo += gc.get_referents(thing)
+    return total
+
+
+class World:
+    """`doors` hollow doors, the first `CORE` of them with a disk, spread over zones and regions by turns."""
+
+    def __init__(self, doors: int, services: int = 20, servers: int = 180, seed: int = 1) -> None:
+        self.random, self.now = random.Random(seed), 100.0
+        self.heap: list[tuple[float, int, Callable[[], None]]] = []
+        self.turn = itertools.count()
+        self.list: Listing = listing(services, servers, ZONES)
+        self.cut: Callable[[Hollow, Hollow], bool] = lambda source, to: False
+        self.sizes = Sizes()
+        self.kinds: dict[tuple[str, str], Kind] = {}
+        self.answers: dict[
+            int, tuple[float, bool]
+        ] = {}  # orders that ended: when, and whether they were taken
+        self.doors: dict[str, Hollow] = {}
+        seeds = [self.address(n) for n in range(3)]
+        for n in range(doors):
+            zone = n % ZONES
+            door = Hollow(self.address(n), f"zone-{zone}", f"region-{zone % REGIONS}", n < CORE, seeds)
+            door.listing = lambda: self.list
+            self.doors[door.ip] = door
+        self.meters = {ip: Meter() for ip in self.doors}
+        for door in self.doors.values():
+            self.start(door, first=True)
+
+    @staticmethod
+    def address(n: int) -> str:
+        return f"10.200.{n >> 8}.{n & 255}"
+
+    # --- time ---------------------------------------------------------------------------------------------
+
+    def at(self, when: float, what: Callable[[], None]) -> None:
+        heapq.heappush(self.heap, (when, next(self.turn), what))
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.heap and self.heap[0][0] <= end:
+            self.now, _, what = heapq.heappop(self.heap)
+            what()
+        self.now = end
+
+    # --- lives ----------------------------------------------------------------------------------------------
+
+    def start(self, door: Hollow, first: bool = False) -> None:
+        door.start(self.now, first)
+        life = door.lives
+        self.at(self.now + self.random.random() * TICK, lambda: self.tick(door, life))
+
+    def kill(self, door: Hollow) -> None:
+        door.core = None
+
+    def up(self) -> list[Hollow]:
+        return [door for door in self.doors.values() if door.core is not None]
+
+    def tick(self, door: Hollow, life: int) -> None:
+        if door.core is None or door.lives != life:
+            return
+        self.call(door, "tick", 0, 0.0, lambda: door.tick(self.now))
+        self.at(self.now + TICK, lambda: self.tick(door, life))
+
+    # --- calls and messages -----------------------------------------------------------------------------------
+
+    def call(self, door: Hollow, kind: str, size: int, codec: float, what: Callable[[], Any]) -> None:
+        """One call of a core, timed, and what it brings about."""
+        began = time.process_time()
+        effects = door.effects(self.now, what())
+        spent = time.process_time() - began
+        meter = self.meters[door.ip]
+        meter.core += spent
+        meter.codec += codec
+        entry = self.kinds.setdefault(("core" if door.disk else "door", kind), Kind())
+        entry.count += 1
+        entry.bytes += size
+        entry.seconds += spent
+        self.carry_out(door, effects)
+
+    def carry_out(self, door: Hollow, effects: Effects) -> None:
+        for to, message in effects.sends:
+            self.send(door, to, message)
+        for item in effects.saves:
+            self.at(self.now + SYNC, lambda item=item, life=door.lives: self.synced(door, life, item))  # type: ignore[misc]
+        for token, good in effects.done:
+            self.answers[token] = (self.now, good)
+
+    def synced(self, door: Hollow, life: int, item: Any) -> None:
+        if door.core is not None and door.lives == life:
+            self.call(door, "synced", 0, 0.0, lambda: door.synced(self.now, item))
+
+    def send(self, source: Hollow, ip: str, message: dict[str, Any]) -> None:
+        to = self.doors.get(ip)
+        if to is None:
+            return
+        size, meter = self.sizes.of(message), self.meters[source.ip]
+        meter.out += 1
+        meter.out_bytes += size.bytes
+        meter.codec += size.dumps
+        meter.calls += size.bytes > MOST_DATAGRAM
+        if self.cut(source, to):
+            return
+        way = NEAR if source.region == to.region else FAR
+        when = self.now + way * (1 + self.random.random() * 0.2)
+        self.at(when, lambda: self.arrive(source, to, message, size))
+
+    def arrive(self, source: Hollow, to: Hollow, message: dict[str, Any], size: Size) -> None:
+        if to.core is None:
+            return
+        meter = self.meters[to.ip]
+        meter.came += 1
+        meter.came_bytes += size.bytes
+        self.call(to, message["k"], size.bytes, size.loads, lambda: to.heard(self.now, source.ip, message))
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,79 @@
+"""The scale run at a smoke's size: counts grow as the page says, repeat, and the page's tables are made from them."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from bench.scale import model, page, words
+from bench.scale.figures import slope
+from bench.scale.phases import play
+from bench.scale.program import check_word, read_word
+from bench.scale.world import CORE, measure, weigh
+
+PHASES = ("rest", "one")
+
+
+def counts(found: dict[str, Any]) -> dict[str, Any]:
+    """All of a play that does not hang on the machine's speed."""
+    timed = ("core", "codec")
+    return {
+        name: {
+            role: {key: value for key, value in load["mean"].items() if key not in timed}
+            for role, load in phase["loads"].items()
+        }
+        | {kind: (of["count"], of["bytes"]) for kind, of in phase["kinds"].items()}
+        | phase["times"]
+        for name, phase in found["phases"].items()
+    }
+
+
+def test_counts_grow_with_the_fleet_and_repeat() -> None:
+    sizes = (20, 80)
+    plays = [play(doors, 6, 24, PHASES) for doors in sizes]
+    rest = model.load("rest")
+    others = [doors - CORE for doors in sizes]
+
+    # every plain door asks every core member, so that what comes in from them grows with their number
+    asked = [found["phases"]["rest"]["kinds"]["core beat"]["count"] for found in plays]
+    among_core = CORE * (CORE - 1) * 10  # every 0.4 s for 4 s
+    assert slope(others, [count - among_core for count in asked]) == pytest.approx(1.0, abs=0.1)
+    assert slope(sizes, [rest(found, "door", "came") for found in plays]) == pytest.approx(0.0, abs=0.35)
+    # the roster is told whole: what a restart costs a door grows with the fleet
+    assert slope(sizes, [model.extra(found, "one restart", "door") for found in plays]) > 0.7
+    assert all(found["phases"]["one restart"]["times"]["settled after the start"] < 2 for found in plays)
+
+    assert counts(play(sizes[0], 6, 24, PHASES)) == counts(plays[0])
+
+
+def test_every_message_is_counted_where_it_went_and_where_it_came() -> None:
+    found = play(20, 6, 24, ("rest",))["phases"]["rest"]
+    went = sum(load["mean"]["out"] * load["doors"] for load in found["loads"].values())
+    came = sum(load["mean"]["came"] * load["doors"] for load in found["loads"].values())
+    kinds = sum(kind["count"] for name, kind in found["kinds"].items() if not name.endswith("tick"))
+    assert came * found["seconds"] == pytest.approx(kinds)
+    assert went == pytest.approx(came, rel=0.05)  # but for what is on its way at the edges
+
+
+def test_configurations_are_valid_and_grow_in_proportion() -> None:
+    small, large = words.configuration(100), words.configuration(1000)
+    assert check_word(small) == check_word(large) == 1
+    assert slope((100, 1000), (len(small), len(large))) == pytest.approx(1.0, abs=0.02)
+    assert weigh(read_word(large)) > 8 * weigh(read_word(small))
+
+
+def test_powers_and_sizes() -> None:
+    assert slope((1, 10, 100), (3, 3e2, 3e4)) == pytest.approx(2.0)
+    assert measure({"k": "beat"}).bytes == 8
+    assert weigh([0] * 100) > weigh([0] * 10) > 0
+
+
+def test_a_page_without_a_place_for_a_table_is_refused(tmp_path: Path) -> None:
+    path = tmp_path / "page.md"
+    path.write_text("# A page\n")
+    with pytest.raises(ValueError, match="no place for"):
+        page.put(path.read_text(), {"fleet": "| a |"}, path)
+    marked = f"{page.MARK.format('fleet')}\nold\n{page.END}\nkept\n"
+    assert page.put(marked, {"fleet": "| new |"}, path) == marked.replace("old", "| new |")
