Run the hollow doors' events by the standard scheduler

The heap of events stood in bench/scale/world.py as it stands in tests/world.py. sched.scheduler runs them now, on simulated time.

--- a/bench/scale/world.py
+++ b/bench/scale/world.py
@@ -7,9 +7,8 @@
 from __future__ import annotations
 
 import gc
-import heapq
-import itertools
 import random
+import sched
 import sys
 import time
 import types
@@ -109,8 +108,7 @@
 
     def __init__(self, doors: int, services: int = 20, servers: int = 180, seed: int = 1) -> None:
         self.random, self.now = random.Random(seed), 100.0
-        self.heap: list[tuple[float, int, Callable[[], None]]] = []
-        self.turn = itertools.count()
+        self.events = sched.scheduler(lambda: self.now)
         self.list: Listing = listing(services, servers, ZONES)
         self.cut: Callable[[Hollow, Hollow], bool] = lambda source, to: False
         self.sizes = Sizes()
@@ -136,13 +134,12 @@
     # --- time ---------------------------------------------------------------------------------------------
 
     def at(self, when: float, what: Callable[[], None]) -> None:
-        heapq.heappush(self.heap, (when, next(self.turn), what))
+        self.events.enterabs(when, 0, what)
 
     def run(self, seconds: float) -> None:
         end = self.now + seconds
-        while self.heap and self.heap[0][0] <= end:
-            self.now, _, what = heapq.heappop(self.heap)
-            what()
+        while (left := self.events.run(blocking=False)) is not None and self.now + left <= end:
+            self.now += left
         self.now = end
 
     # --- lives ----------------------------------------------------------------------------------------------
