--- a/bench/scale/phases.py
+++ b/bench/scale/phases.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from bench.scale.program import TICK, Hollow
+from bench.scale.program import TICK, Hollow, homes
 from bench.scale.world import Kind, Meter, World, weigh
 
 STEP = 0.01  # seconds between two looks at whether something has come true
@@ -88,6 +88,7 @@
 
     def roles(self) -> dict[str, str]:
         services, found = list(self.world.list), {}
+        known: dict[tuple[str, ...], set[str | None]] = {}  # most doors of a zone know the same ones
         for door in self.world.up():
             duties = door.duties(self.world.now)
             if duties:
@@ -95,7 +96,10 @@
             elif door.disk:
                 found[door.ip] = "core"
             else:
-                found[door.ip] = "home" if any(door.is_home(name) for name in services) else "door"
+                near = door.neighbours()
+                if near not in known:
+                    known[near] = homes(door.zone, near, services)
+                found[door.ip] = "home" if door.ip in known[near] else "door"
         return found
 
     def phase(
@@ -302,7 +306,8 @@
     for name in names:
         getattr(here, name)()
     gc.enable()
-    held = {role: weigh(here.world.doors[ip].core) for ip, role in here.roles().items()}
+    one = {role: ip for ip, role in here.roles().items()}
+    held = {role: weigh(here.world.doors[ip].core) for role, ip in one.items()}
     return {
         "doors": doors, "services": services, "servers": servers,
         "phases": {phase.name: dataclasses.asdict(phase) for phase in here.phases},
--- a/bench/scale/program.py
+++ b/bench/scale/program.py
@@ -200,5 +200,11 @@
         held = [duty for duty in range(SHARDS + 1) if self.known().duties.until(duty) > now]
         return {"list" if duty == LIST else "counter" for duty in held}
 
-    def is_home(self, service: str) -> bool:
-        return home(service, self.zone, self.known().peers.doors(zone=self.zone)) == self.ip
+    def neighbours(self) -> tuple[str, ...]:
+        """The ready doors of its zone, as it knows them."""
+        return tuple(self.known().peers.doors(zone=self.zone))
+
+
+def homes(zone: str, doors: tuple[str, ...], services: list[str]) -> set[str | None]:
+    """Doors of a zone that are home of a service."""
+    return {home(service, zone, doors) for service in services}
