Let a voice that tells of a newer state speak for the time before it

Change: a voice keeps the time of the last question to whose answer it told nothing above what was in force here. What was decided before that time is known here, by the same sum of R and W.

--- a/bench/scale/program.py
+++ b/bench/scale/program.py
@@ -7,8 +7,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from comb.check import check
 from comb.copies import WORD, Item, Save
+
+from comb.check import check
 from comb.word import read
 from forage.fleet import Fleet
 from nectar.bounds import QuotaRule
--- a/queenless/beats.py
+++ b/queenless/beats.py
@@ -145,6 +145,8 @@
             peer.news, peer.holders = state["n"], state.get("d", {})
             peer.held = (state["h"]["v"], state["h"]["p"])
             peer.silent = frozenset(state.get("q", ()))
+        if peer.held is not None and max(peer.held) <= self.control.register.version:
+            peer.clean_at = asked_at
         for duty in message.get("g", ()):
             self.duties.granted(duty, about.ip, asked_at, about.life)
         if "s" in message and message["s"] != self.peers.roster:
--- a/swarm/peers.py
+++ b/swarm/peers.py
@@ -36,6 +36,7 @@
     about: About
     heard_at: float = -1e9  # when it was last heard
     asked_at: float = -1e9  # when the last beat was sent that it has answered
+    clean_at: float = -1e9  # the same, of the last one whose answer told nothing above what was in force here
     sent_at: float = -1e9  # when the last beat went to it
     counts_on: list[int] | None = None  # duties for which it counts on a promise of this door's last life
     knows_me: bool = False  # it need not be told again who this door is
@@ -153,15 +154,14 @@
         return peer is not None and peer.leaving
 
     def voices(self, members: Iterable[Member], version: int) -> list[float]:
-        """Of each member, this door aside, that told of nothing above a version, from the disk that is seated:
-        when the last beat that it answered was sent."""
+        """Of each member, this door aside, from the disk that is seated: when the last beat was sent to whose answer it
+        told nothing above a version.  One that tells of a newer one now still spoke for the time before."""
         found = []
         for member in members:
             peer = self.peers.get(member.ip)
             if peer is None or peer.about.disk != member.disk or peer.held is None:
                 continue
-            if max(peer.held) <= version:
-                found.append(peer.asked_at)
+            found.append(peer.asked_at if max(peer.held) <= version else peer.clean_at)
         return found
 
     def holding_above(self, version: int) -> list[str]:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -399,3 +399,27 @@
     order = world.put("d6", 6)
     world.run(1.5)
     assert world.calls[order].good and not world.breaches
+
+
+def test_a_change_on_its_way_turns_no_keyed_request_away() -> None:
+    """A voice that tells of a newer state still spoke for the time before, so a door is fresh until it has the state."""
+    world = settled_world(4, 8)
+    stale: list[str] = []
+    for number in range(6, 16):
+        world.put("d1", number)
+        for _ in range(60):
+            world.run(0.01)
+            stale += [name for name in world.up() if not world.fresh(name)]
+    assert not stale and not world.breaches
+    late = world.send
+
+    def lacking(source: str, to: str, message: Message) -> None:
+        if to != "d6" or message["k"] != "decided":
+            late(source, to, message)
+
+    world.send = lacking  # type: ignore[method-assign]
+    world.put("d1", 20)  # told of, and never brought: fresh for the time for a revocation and no longer
+    world.run(4.0)
+    assert world.fresh("d6")
+    world.run(1.0)
+    assert not world.fresh("d6") and world.fresh("d7") and not world.breaches
