--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -402,7 +402,7 @@
 
 
 def test_a_change_on_its_way_turns_no_keyed_request_away() -> None:
-    """A voice that tells of a newer state still spoke for the time before, so a door is fresh until it has the state."""
+    """A voice that tells of a newer state spoke for the time before, so a door is fresh until it has the state."""
     world = settled_world(4, 8)
     stale: list[str] = []
     for number in range(6, 16):
