Number beats instead of shifting their times, so that a read at rest needs no round

Cause: times on the wire were shifted by up to 2^40 s, and came back rounded by up to 0.06 ms: half of the answers seemed older than the order that they settled, and the others later than now. On loopback a read took 331 ms (1.5 ms before the shift).

Change: a beat bears a number, from one that is each life's own on; when it was sent stays with the sender.

--- a/queenless/beats.py
+++ b/queenless/beats.py
@@ -14,7 +14,8 @@
 NEAR_BEAT = 0.4  # seconds between beats inside a region, and between core doors, whose leases live on them
 FAR_BEAT = 2.0  # between regions, where bytes are dear, while the near part of the core answers
 YOUNG = 3.0  # seconds for which a new life says in each echo who it is
-APART = 1 << 20  # seconds between the times of two lives: twelve days
+APART = 1 << 24  # beats between the numbers of two lives: more than one sends in a month
+MOST_SENT = 512  # beats that an answer may still come to: those of the last half minute
 
 
 def hash_of(life: int) -> int:
@@ -27,9 +28,10 @@
 
     def __init__(self, peers: Peers, control: Control, duties: Duties, news: News, began: float) -> None:
         self.peers, self.control, self.duties, self.news, self.began = peers, control, duties, news, began
-        # added to times on the wire, and another for each life: an answer to an earlier life is known by it, also on a
-        # machine whose steady clock has begun anew
-        self.shift = float(hash_of(peers.me.life) * APART)
+        # beats are numbered from a number of this life's own on, so an answer to an earlier life is known by it, also
+        # on a machine whose steady clock has begun anew
+        self.count = hash_of(peers.me.life) * APART
+        self.sent: dict[int, float] = {}  # when the last beats were sent, by number
         self.first_sent: dict[str, float] = {}  # to whom a beat went that has never answered
 
     def state(self, now: float) -> dict[str, Any]:
@@ -41,9 +43,17 @@
             told["q"] = self.control.silent(now)
         return told
 
-    def asked_at(self, told: float) -> float:
-        """When a beat was sent, by the time that its answer brings back."""
-        return told - self.shift
+    def number(self, now: float) -> int:
+        """The number of a beat that goes out now."""
+        self.count += 1
+        self.sent[self.count] = now
+        if len(self.sent) > MOST_SENT:
+            del self.sent[next(iter(self.sent))]
+        return self.count
+
+    def asked_at(self, number: int) -> float | None:
+        """When the beat of a number was sent; None where it was not this life that sent it, or long ago."""
+        return self.sent.get(number)
 
     @staticmethod
     def sum_of(state: dict[str, Any]) -> int:
@@ -69,7 +79,7 @@
         message: Message = {
             "k": "beat",
             "l": me.life,
-            "t": now + self.shift,
+            "t": self.number(now),
             "r": ready,
             "c": self.peers.core_sum(),
         }
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -284,7 +284,7 @@
                 peer.knows_me = False
             return
         asked_at = self.beats.asked_at(message["t"])
-        if self.peers.stale(now, about) or not self.began <= asked_at <= now:
+        if self.peers.stale(now, about) or asked_at is None:
             self.drop("echo")  # of an earlier life, or to one
             return
         self.peers.meet(now, about)
