Show by stopped, cut, killed and replaced processes what operators and clients are told

Ruled out: asking a door that is cut off for a key that has just come (401 is due for configurationMs), and taking its confirmation of what it heard decided for one of its own where it is cut off only one way.

--- a/apiary/stands.py
+++ b/apiary/stands.py
@@ -1,10 +1,14 @@
-"""A stand-in platform and stand-in servers: the published protocol, as much of it as doors use."""
+"""A stand-in platform and stand-in servers: the published protocol, as much of it as doors use.
+
+`python -m apiary.stands ID SERVICE ADDRESS ZONE FILE` is one server as a process, which notes what it runs."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
 import json
+import os
+import sys
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -55,6 +59,8 @@
     ran: Counter[str] = field(default_factory=Counter)
     last: Headers = field(default_factory=dict)  # of the request that it ran last
     busy: int = 0
+    apart: bool = False  # a process of its own serves it: here it is only listed
+    notes: int = -1  # the descriptor of a file that is told what runs, before it does
 
     async def handle(
         self, method: str, path: str, headers: Headers, body: bytes
@@ -67,6 +73,8 @@
         if not attempt:
             return 400, {"X-Hazelspring-Not-Executed": "1"}, b""
         self.ran[attempt] += 1
+        if self.notes >= 0:
+            os.write(self.notes, f"{attempt}\n".encode())
         self.last = {**headers, "": f"{method} {path} {body.decode(errors='replace')}"}
         self.busy += 1
         await asyncio.sleep(self.work)
@@ -94,7 +102,8 @@
 
     async def start(self) -> None:
         for server in self.servers:
-            await self.listen(server.address, server.handle)
+            if not server.apart:
+                await self.listen(server.address, server.handle)
         await self.listen(self.platform, self.instances)
 
     async def listen(self, address: str, handler: Handler) -> None:
@@ -124,3 +133,14 @@
     def close(self) -> None:
         for server in self.listening:
             server.close()
+
+
+async def serve_one(id_: str, service: str, address: str, zone: str, file: str) -> None:
+    notes = os.open(file, os.O_CREAT | os.O_APPEND | os.O_WRONLY)
+    server = Server(id_, service, address, zone, work=0.03, notes=notes)
+    await Stands("", []).listen(address, server.handle)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(serve_one(*sys.argv[1:]))
--- a/apiary/yard.py
+++ b/apiary/yard.py
@@ -1,4 +1,4 @@
-"""Doors as processes on loopback addresses: settings, start, signals, wiped disks, and a client's request."""
+"""Doors and servers as processes on loopback addresses: settings, start, signals, disks, and a client's request."""
 
 from __future__ import annotations
 
@@ -56,28 +56,41 @@
 
 
 class Yard:
-    """So many core doors and others; each has an address of its own in 127.0.0.0/8, and all have the same ports."""
-
-    def __init__(self, folder: Path, core: int = 4, others: int = 2, servers: int = 4) -> None:
-        self.folder, self.core = folder, core
+    """So many core doors and others; each has an address of its own in 127.0.0.0/8, and all have the same ports.
+    `program` is what runs a door, `settings` are lines beside the usual ones, `apart` gives each server a process."""
+
+    def __init__(
+        self,
+        folder: Path,
+        core: int = 4,
+        others: int = 2,
+        servers: int = 4,
+        program: tuple[str, ...] = ("-m", "hive", "door"),
+        settings: dict[str, str] | None = None,
+        apart: bool = False,
+    ) -> None:
+        self.folder, self.program, self.more = folder, program, settings or {}
+        self.disks = set(range(core))  # doors that have one
+        self.gone: set[int] = set()  # doors that were lost for good
         self.front, self.ready, self.control, self.directory, self.port, self.platform_port, web = free_ports(
             7
         )
-        net = f"127.{os.getpid() >> 8 & 255}.{os.getpid() & 255}"
+        net = self.net = f"127.{os.getpid() >> 8 & 255}.{os.getpid() & 255}"
         self.ips = [f"{net}.{n + 1}" for n in range(core + others)]
         self.zones = [list(ZONES)[n % len(ZONES)] for n in range(core + others)]
         self.platform = f"{net}.200:{self.platform_port}"
         self.servers = [
-            Server(f"i-{n}", "shop", f"{net}.{100 + n}:{web}", list(ZONES)[n % len(ZONES)])
+            Server(f"i-{n}", "shop", f"{net}.{100 + n}:{web}", list(ZONES)[n % len(ZONES)], apart=apart)
             for n in range(servers)
         ]
         self.processes: dict[int, subprocess.Popen[bytes]] = {}
+        self.lives: dict[int, subprocess.Popen[bytes]] = {}  # of servers that are processes
         self.started = False
 
     def settings(self, n: int, first: bool) -> Path:
         ip, zone = self.ips[n], self.zones[n]
         data = self.folder / f"door-{n + 1}"
-        if n < self.core:
+        if n in self.disks:
             data.mkdir(parents=True, exist_ok=True)
         lines = {
             "thisDoor.nodeName": f"door-{n + 1}",
@@ -85,17 +98,18 @@
             "thisDoor.zone": zone,
             "thisDoor.answerRegion": ZONES[zone],
             "thisDoor.firstStart": str(first).lower(),
-            "thisDoor.dataDirectory": str(data) if n < self.core else "",
+            "thisDoor.dataDirectory": str(data) if n in self.disks else "",
             "network.listenAddresses.front": f"{ip}:{self.front}",
             "network.listenAddresses.readiness": f"{ip}:{self.ready}",
             "network.listenAddresses.controlAddress": f"{ip}:{self.control}",
             "network.listenAddresses.directoryAddress": f"{ip}:{self.directory}",
             "network.internalPorts": f"{self.port},{self.port}",
-            "network.seedNodes": ",".join(f"{seed}:{self.control}" for seed in self.ips[:3]),
+            "network.seedNodes": ",".join([self.controls()[seed] for seed in self.there()][:3]),
             **{f"network.zones.{name}": region for name, region in ZONES.items()},
             "platformSettings.cloudInterface.address": self.platform,
             "timingTerms.ruleBounds.budgetSlack": "60",
             "timingTerms.ruleBounds.quotaSlack": "20",
+            **self.more,
         }
         path = self.folder / f"door-{n + 1}.conf"
         path.write_text("".join(f"{key}={value}\n" for key, value in lines.items()))
@@ -104,7 +118,7 @@
     def start(self, n: int, first: bool = False) -> None:
         environment = {**os.environ, "HAZELSPRING_SETTINGS": str(self.settings(n, first))}
         with (self.folder / f"door-{n + 1}.log").open("ab") as log:
-            command = [sys.executable, "-m", "hive", "door"]
+            command = [sys.executable, *self.program]
             self.processes[n] = subprocess.Popen(command, cwd=ROOT, env=environment, stdout=log, stderr=log)
 
     def start_all(self, first: bool = False) -> None:
@@ -119,11 +133,36 @@
     def wipe(self, n: int) -> None:
         shutil.rmtree(self.folder / f"door-{n + 1}")
 
+    def there(self) -> list[int]:
+        """Doors that were not lost for good."""
+        return [n for n in range(len(self.ips)) if n not in self.gone]
+
+    def replace(self, n: int) -> int:
+        """Lose a door for good; the number of one in its zone, on a new address and with an empty disk if it had one,
+        that has yet to be started."""
+        self.kill(n)
+        self.gone.add(n)
+        self.ips.append(f"{self.net}.{len(self.ips) + 1}")
+        self.zones.append(self.zones[n])
+        if n in self.disks:
+            self.disks = self.disks - {n} | {len(self.ips) - 1}
+        return len(self.ips) - 1
+
+    def start_server(self, n: int) -> None:
+        """Start a server as a process; what it runs it adds to a file."""
+        server = self.servers[n]
+        words = [server.id, server.service, server.address, server.zone, str(self.ran_file(n))]
+        self.lives[n] = subprocess.Popen([sys.executable, "-m", "apiary.stands", *words], cwd=ROOT)
+
+    def ran_file(self, n: int) -> Path:
+        return self.folder / f"server-{n}.ran"
+
     def close(self) -> None:
-        for process in self.processes.values():
+        processes = [*self.processes.values(), *self.lives.values()]
+        for process in processes:
             process.send_signal(signal.SIGCONT)
             process.kill()
-        for process in self.processes.values():
+        for process in processes:
             process.wait(10)
 
     def controls(self) -> list[str]:
--- /dev/null
+++ b/tests/cut_door.py
@@ -0,0 +1,33 @@
+"""A door with bad links: `hive door` that drops or delays what other doors send to it, for tests alone.
+
+The file beside its settings that ends in `.cut` names addresses, one a line: what comes from there is dropped, or late
+by the seconds that stand after it.  It is read anew at each message."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+import hive.door
+from hive.__main__ import main
+from hive.mesh import Mesh
+
+FILE = Path(os.environ["HAZELSPRING_SETTINGS"]).with_suffix(".cut")
+
+
+class Cut(Mesh):
+    """Datagrams and messages by TCP both pass here before anything is made of them."""
+
+    def received(self, source: str, data: bytes) -> None:
+        lines = FILE.read_text().splitlines() if FILE.exists() else ()
+        late = next((line.split()[1:] for line in lines if line.split()[0] == source), None)
+        if late is None:
+            super().received(source, data)
+        elif late:
+            self.loop.call_later(float(late[0]), super().received, source, data)
+
+
+if __name__ == "__main__":
+    hive.door.Mesh = Cut  # type: ignore[attr-defined]
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_control_processes.py
@@ -0,0 +1,330 @@
+"""The control side's five points between real processes: what operators and clients are told in the worst moments."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import signal
+import time
+from collections import Counter
+from collections.abc import Iterator
+
+import pytest
+
+from apiary.__main__ import Background
+from apiary.stands import Stands
+from apiary.yard import ZONES, Yard, configuration
+from keeper.calls import order
+
+from .callers import (
+    UNCLEAR,
+    Clients,
+    Operators,
+    Questions,
+    Sent,
+    ask,
+    change_keys,
+    controls,
+    core_doors,
+    cut,
+    give_keys,
+    is_write,
+    links,
+    mend,
+    number_in,
+    numbers,
+    other_body,
+    other_doors,
+    put,
+    read,
+    settle,
+    taken,
+    told,
+)
+
+REVOCATION = 1.5  # seconds: a short one, so that being stopped or cut for longer takes no 20 s
+STOPPED = 2.0  # seconds: longer than that, and than a door that is not heard stays in the roster
+CATCH_UP, ACKNOWLEDGE = 4.0, 6.0  # seconds: `catchUpS` and `acknowledgeMs` of the users' deployments
+
+
+@pytest.fixture(scope="module")
+def founded(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Yard]:
+    made = Yard(
+        tmp_path_factory.mktemp("yard"),
+        program=("-m", "tests.cut_door", "door"),
+        settings={"timingTerms.ruleBounds.revocationMs": str(int(REVOCATION * 1000))},
+        apart=True,
+    )
+    background = Background(Stands(made.platform, made.servers))
+    try:
+        for n in range(len(made.servers)):
+            made.start_server(n)
+        made.start_all(first=True)
+        order(made.controls(), "PUT", "/-/configuration", configuration(1), 30.0)
+        yield made
+    finally:
+        made.close()
+        background.close()
+
+
+@pytest.fixture
+def yard(founded: Yard) -> Yard:
+    """All doors run, the core is whole, and nothing is cut or closed, also after a test that failed."""
+    mend(founded)
+    for n in founded.there():
+        if n not in founded.processes:
+            founded.start(n)
+        founded.processes[n].send_signal(signal.SIGCONT)
+    for zone in ZONES:
+        order(controls(founded), "DELETE", f"/-/evacuation/{zone}", patience=40)
+    seats = {founded.ips[n] for n in core_doors(founded)}
+    for n in founded.there():
+        founded.until(
+            lambda n=n: (
+                (said := told(founded, n)).get("ready")
+                and set(said["core"]) == seats
+                and said["member"] is (n in founded.disks)
+            ),
+            40,
+        )
+    return founded
+
+
+# --- 1: contact with a majority ------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("at", "late"), [(0, 0.0), (2, 0.15)])
+def test_a_door_that_was_stopped_says_nothing_old_and_nothing_of_its_own(
+    yard: Yard, at: int, late: float
+) -> None:
+    """`late`: seconds to a far region, so that there is time to ask it between one answer to it and the next; orders,
+    which bring it up to date, come afterwards there."""
+    away = [core_doors(yard)[at], other_doors(yard)[at % 2]]
+    give_keys(yard, away)
+    early = {n: read(yard, n) for n in away}  # may be under way when it stops
+    began = time.monotonic()
+    for n in away:
+        yard.processes[n].send_signal(signal.SIGSTOP)
+        if late:
+            links(yard, n, {yard.ips[other]: str(late) for other in yard.there() if other != n})
+    number = change_keys(yard, away)
+    waiting = [Questions(yard, n, number, f"w{at}").send_read() for n in away]
+    for questions in () if late else waiting:
+        questions.send_orders()
+    yard.until(lambda: time.monotonic() - began > STOPPED)
+    for questions in waiting:
+        questions.send_keys()  # so long after the acknowledgement that none may get in by an older configuration
+    for n in away:
+        yard.processes[n].send_signal(signal.SIGCONT)
+    marks, asked = itertools.count(), waiting
+    while any(ask(yard, n, "GET", "/read/a", f"b{at}-{next(marks)}").end().status != 200 for n in away):
+        asked += [Questions(yard, n, number, f"a{at}-{next(marks)}").send_read().send_keys() for n in away]
+        if not late:
+            asked += [Questions(yard, n, number, f"o{at}-{next(marks)}").send_orders() for n in away]
+        assert time.monotonic() - began < STOPPED + CATCH_UP
+    asked += [Questions(yard, n, number, f"o{at}-{next(marks)}").send() for n in away]
+    for questions in asked:
+        questions.judge()
+    assert all(sent.end().status in (200, *UNCLEAR) for sent in early.values())
+    mend(yard)
+    newest = next(numbers)
+    for n in away:
+        assert order([yard.controls()[n]], "PUT", "/-/configuration", configuration(newest)).status == 200
+    for n in yard.there():
+        answer = order([yard.controls()[n]], "GET", "/-/configuration")
+        assert json.loads(answer.body)["versionNumber"] == f"r{newest}"
+    asked[0].reopen()
+
+
+@pytest.mark.parametrize("ways", ["both", "in", "out"])
+def test_a_core_door_that_is_cut_off_says_nothing_old_and_settles_nothing(yard: Yard, ways: str) -> None:
+    n = core_doors(yard)[1]
+    give_keys(yard, [n])
+    cut(yard, n, ways)
+    number = change_keys(yard, [n])
+    acknowledged = time.monotonic()
+    questions = Questions(yard, n, number, f"cut-{ways}").send_read().send_orders()
+    yard.until(lambda: time.monotonic() - acknowledged > REVOCATION)
+    questions.send_keys()  # a key that has just come may be refused for `configurationMs` after
+    passed_on = [yard.controls()[n], *controls(yard, but=[n])]
+    began = time.monotonic()
+    order(passed_on, "POST", "/-/evacuation/south-1")  # another door takes it up
+    assert time.monotonic() - began < ACKNOWLEDGE
+    questions.judge(settles=False, hears=ways == "out")
+    mend(yard)
+    after = Questions(yard, n, number, f"after-{ways}").send()
+    after.judge()
+    order([yard.controls()[n]], "DELETE", "/-/evacuation/south-1")
+    after.reopen()
+
+
+# --- 2: one number, one body -----------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("trouble", [signal.SIGKILL, signal.SIGSTOP])
+@pytest.mark.parametrize(("one", "two", "moment"), [(0, 3, 0.0), (1, 4, 0.004), (2, 0, 0.012), (5, 1, 0.03)])
+def test_of_two_bodies_under_one_number_one_is_confirmed_for_ever(
+    yard: Yard, trouble: signal.Signals, one: int, two: int, moment: float
+) -> None:
+    doors = [*core_doors(yard), *other_doors(yard)]
+    hit, well, number = doors[one], doors[two], next(numbers)
+    bodies = [configuration(number), other_body(number)]
+    sent = [put(yard, n, body) for n, body in zip((hit, well), bodies, strict=True)]
+    time.sleep(moment)  # which step it hits; what is asserted holds whichever it is
+    yard.processes[hit].send_signal(trouble)
+    if trouble is signal.SIGKILL:
+        yard.kill(hit)
+    good = [settle(controls(yard, but=[hit]), body) for body in bodies]
+    assert sum(good) == 1
+    if trouble is signal.SIGKILL:
+        yard.start(hit)
+    else:
+        yard.processes[hit].send_signal(signal.SIGCONT)
+    for answer, won in zip([call.end() for call in sent], good, strict=True):
+        assert answer.status in UNCLEAR or (answer.status == 200 if won else taken(answer)), (answer, won)
+    for n in yard.there():
+        door = [yard.controls()[n]]
+        assert [settle(door, body) for body in bodies] == good
+        assert order(door, "GET", "/-/configuration").body == bodies[good.index(True)]
+
+
+# --- 3: losses one after another -------------------------------------------------------------------------------------
+
+
+def test_core_doors_are_lost_for_good_one_after_the_other_and_each_next_loss_is_borne(
+    founded: Yard, yard: Yard
+) -> None:
+    for _ in range(3):  # none of the seeds is left then
+        lost, next_lost, *_ = core_doors(yard)
+        body = configuration(next(numbers))
+        order(controls(yard), "PUT", "/-/configuration", body)
+        new = yard.replace(lost)
+        yard.start(new)
+        yard.until(lambda new=new: told(yard, new))
+        began = time.monotonic()
+        yard.until(lambda new=new: told(yard, new).get("member"))
+        assert time.monotonic() - began < CATCH_UP
+        yard.kill(next_lost)
+        number = next(numbers)
+        order(controls(yard, but=[next_lost]), "PUT", "/-/configuration", configuration(number))
+        assert number_in(read(yard, new).end()) == number
+        yard.start(next_lost)
+        seats = {yard.ips[n] for n in core_doors(yard)}
+        yard.until(lambda seats=seats, n=next_lost: set(told(yard, n).get("core", ())) == seats)
+        yard.until(lambda n=next_lost: told(yard, n).get("member"))
+
+
+def test_a_core_door_leaves_in_the_midst_of_orders_and_none_is_lost(yard: Yard) -> None:
+    leaver = core_doors(yard)[0]
+    operators = Operators(lambda: controls(yard))
+    try:
+        yard.until(lambda: operators.confirmed > 10)
+        process = yard.processes.pop(leaver)
+        process.terminate()
+        assert process.wait(10) == 0
+        confirmed = operators.confirmed
+        yard.until(lambda: operators.confirmed > confirmed + 10)
+    finally:
+        operators.stop()
+    assert not operators.failed
+    for n in yard.there():
+        if n != leaver:
+            assert number_in(read(yard, n).end()) >= operators.highest
+    yard.start(leaver)
+    yard.until(lambda: told(yard, leaver).get("member") and told(yard, leaver)["ready"])
+    assert number_in(read(yard, leaver).end()) >= operators.highest
+
+
+# --- 4: catching up -----------------------------------------------------------------------------------------------
+
+
+def test_a_core_door_behind_by_two_hundred_changes_catches_up_whole_and_shows_nothing_old(yard: Yard) -> None:
+    late, *others = core_doors(yard)
+    version = told(yard, others[0])["version"]
+    yard.kill(late)
+    for step in range(100):  # two at a time, as operators may have eight under way
+        door = yard.controls()[others[step % 3]]
+        number = next(numbers)
+        zone = ("DELETE" if step % 2 else "POST", "/-/evacuation/south-1")
+        early = Sent(door, *zone)
+        order([door], "PUT", "/-/configuration", configuration(number))
+        if early.end().status != 200:
+            order([door], *zone)
+    last = number_in(read(yard, others[0]).end())
+    newest = told(yard, others[0])["version"]
+    assert newest >= version + 100  # one round may carry two orders
+    log = yard.folder / f"door-{late + 1}.log"
+    for line in (
+        "hive: started",
+        f"number={last}",
+    ):  # killed at its start, and when it has just learnt the last one
+        seen = log.read_text().count(line)
+        yard.start(late)
+        yard.until(lambda seen=seen, line=line: log.read_text().count(line) > seen)
+        yard.kill(late)
+    yard.start(late)
+    answers: list[Sent] = []
+    while not answers or answers[-1].status != 200:
+        answers.append(read(yard, late).end())
+        assert answers[-1].status in (200, *UNCLEAR)
+    assert number_in(answers[-1]) == last
+    yard.until(lambda: told(yard, late).get("member"))
+    assert told(yard, late)["version"] >= newest and told(yard, late)["configuration"] == last
+
+
+# --- 5: one call, one run; one answer, one caller -----------------------------------------------------------------
+
+
+def test_writes_run_once_and_answers_belong_to_their_calls_while_servers_are_stopped_and_killed(
+    yard: Yard,
+) -> None:
+    clients = Clients(yard)
+
+    def go_on(count: int = 80) -> None:
+        goal = len(clients.ends) + count
+        yard.until(lambda: len(clients.ends) >= goal)
+
+    def new_life(n: int) -> None:
+        yard.lives[n].kill()
+        yard.lives[n].wait(10)
+        go_on()
+        yard.servers[n].id += "-again"
+        yard.start_server(n)
+        go_on()
+
+    def ran() -> Counter[str]:
+        return Counter(line for n in range(4) for line in yard.ran_file(n).read_text().split())
+
+    def torn() -> bool:
+        """Whether a write was at work at a server that was killed: it has run, and nobody was told."""
+        lost = [id_ for id_, status in list(clients.ends.items()) if status == 502 and is_write(id_)]
+        return any(map(ran().get, lost))
+
+    try:
+        go_on()
+        for n in (0, 1):
+            yard.lives[n].send_signal(signal.SIGSTOP)
+            go_on()
+            yard.lives[n].send_signal(signal.SIGCONT)
+            go_on()
+        yard.lives[3].send_signal(signal.SIGSTOP)
+        go_on()
+        new_life(3)
+        began, tries = time.monotonic(), 0
+        while not torn() or tries < 2:
+            had = yard.ran_file(2).stat().st_size
+            while yard.ran_file(2).stat().st_size == had:
+                assert time.monotonic() - began < 20
+            new_life(2)  # it has just begun with one
+            tries += 1
+    finally:
+        clients.stop()
+    for server in yard.servers:  # what waits at a server has run once it answers on connections opened later
+        yard.until(lambda a=server.address: Sent(a, "GET", "/health").end().status == 200)
+    seen = ran()
+    writes = {id_: status for id_, status in clients.ends.items() if is_write(id_)}
+    assert not clients.foreign
+    assert [id_ for id_ in writes if seen[id_] > 1] == []
+    assert [id_ for id_, status in writes.items() if status == 200 and seen[id_] != 1] == []
+    promised = (400, 401, 404, 408, 421, 429, 503)  # none of these may have run
+    assert [id_ for id_, status in writes.items() if status in promised and seen[id_]] == []
