Do not tell a core door as away that is only asked seldom

Cause: status took a member for away after 1.3 s without an answer, and a door without a disk asks those of another region each two seconds: a member that was well was named, and retired, by following it (tried as a new user would).

Change: what it is seldom asked is allowed for. Nothing but status uses this.

Measured: the new test; a member that was killed is still named after 4 s.

--- a/hive/door.py
+++ b/hive/door.py
@@ -354,7 +354,7 @@
             "configuration": self.word.number if self.word is not None else None,
             "closedZones": sorted(state.closed) if state is not None else [],
             "version": core.control.register.version,
-            "core": {ip: core.peers.alive(now, ip) for ip in sorted(core.peers.core)},
+            "core": {ip: core.beats.answers(now, ip) for ip in sorted(core.peers.core)},
             "member": core.control.seated(),
             "dropped": dict(core.dropped),
             "doors": [row[0] for row in core.peers.roster if row[5]],
--- a/queenless/beats.py
+++ b/queenless/beats.py
@@ -63,6 +63,11 @@
         peer = self.peers.peers.get(ip)
         return peer.sent_at if peer is not None else self.first_sent.get(ip, -1e9)
 
+    def answers(self, now: float, ip: str) -> bool:
+        """Whether a core door answers what this one asks it, however seldom that is."""
+        seldom = 0.0 if self.peers.core[ip].region == self.peers.me.region or self.peers.me.disk else FAR_BEAT
+        return self.peers.alive(now - seldom, ip)
+
     def due(self, now: float, ip: str, enough: bool) -> bool:
         """Whether a core door is to be asked again; `enough`: near voices tell all that is needed."""
         about, me = self.peers.core[ip], self.peers.me
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -461,3 +461,16 @@
     world.send = no_promise  # type: ignore[method-assign]
     world.run(1.5)
     assert world.calls[token].good and not world.breaches
+
+
+def test_a_core_door_that_answers_is_not_told_as_away() -> None:
+    """A door without a disk asks members of another region each two seconds only."""
+    world = settled_world()
+    core, away = world.doors["d6"].core, set()
+    assert core is not None
+    for _ in range(60):
+        world.run(0.1)
+        away |= {ip for ip in core.peers.core if not core.beats.answers(world.now, ip)}
+    world.kill("d1")
+    world.run(4.0)
+    assert not away and [ip for ip in core.peers.core if not core.beats.answers(world.now, ip)] == ["d1"]
