Settle an evacuation only by what is sure, not by what another door still holds

Cause (found on rereading): an order was settled by any newer state that came after it. That a number is taken lasts; that a zone is closed does not: two doors cut off together, of which one knew of a closing that had been taken back, acknowledged a closing that changed nothing.

Change: only a configuration's number is settled by what another door tells; evacuations and changes of members need contact since they came, or a round of their own.

--- a/queenless/orders.py
+++ b/queenless/orders.py
@@ -169,7 +169,9 @@
             return Done(order.token, True, state=state) if self.register.pending is None else None
         if order.apply(state) is not state:
             return None
-        if not sure(order) and (order.kind == "read" or state.version == order.version):
+        # that a number is taken, or a higher one, stays true whoever tells it; all else may have changed since
+        lasting = order.kind == "put" and state.version > order.version
+        if not lasting and not sure(order):
             return None  # what stands here may be old
         if order.conflicts(state):
             return Done(order.token, False, f"r{state.number} is another body", True, state)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -474,3 +474,24 @@
     world.kill("d1")
     world.run(4.0)
     assert not away and [ip for ip in core.peers.core if not core.beats.answers(world.now, ip)] == ["d1"]
+
+
+def test_an_order_is_not_settled_by_what_another_door_that_is_cut_off_still_holds() -> None:
+    """Zone z1 was closed and opened again; two doors that are cut off together know of the closing only."""
+    world = settled_world()
+    alone(world, "d6")
+    world.evacuate("d1", "z1", True)
+    world.run(2.0)
+    alone(world, "d2")
+    opened = world.evacuate("d1", "z1", False)
+    world.run(3.0)
+    assert world.calls[opened].good
+    closing = world.evacuate("d6", "z1", True)
+    world.cut -= {("d2", "d6"), ("d6", "d2")}  # before anything else comes, d6 hears of the closing
+    world.run(2.5)
+    assert not world.calls[closing].good and not world.breaches
+    world.cut.clear()
+    world.run(1.0)
+    closing = world.evacuate("d6", "z1", True)
+    world.run(1.0)
+    assert world.calls[closing].good and world.decided[max(world.decided)].closed == {"z1"}
