Ask again who let another round go first, and give a round up that the living cannot carry

Cause: of four members with one dead, all three others are needed.

Doors that wait are told in the order in which they came, so that a play is the same each time.

--- a/queenless/control.py
+++ b/queenless/control.py
@@ -54,7 +54,9 @@
         self.queued: list[tuple[str, Message]] = []  # and for the next one
         self.failed = False
         self.guest = NOBODY  # whose round is under way here: until when, whose, on what base, and whether it has chosen
-        self.put_off: set[str] = set()  # doors without a seat that were told to wait for what is under way
+        self.put_off: dict[
+            str, None
+        ] = {}  # doors without a seat that were told to wait for what is under way
         self.own: list[Message] = []  # messages of this door to itself
         self.asked: tuple[float, int] = (-1e9, 0)  # when a newer state was asked for, and how often
         self.deeds: list[Deed] = []
@@ -176,8 +178,9 @@
             return
         self.guest = NOBODY
         self.orders.eager()
-        while self.put_off:  # members hear it from who has decided
-            self.tell(self.put_off.pop(), NO_WORD)
+        for source in self.put_off:  # members hear it from who has decided
+            self.tell(source, NO_WORD)
+        self.put_off = {}
         if before is None or state.digest != before.digest:
             self.deeds.append(Changed(WORD))
         if before is None or state.closed != before.closed:
@@ -321,7 +324,7 @@
         outbid = message["k"] == "accept" and self.guest[1] != source
         wait = max(0, int(1000 * (self.guest[0] - now))) if busy or outbid else 0
         if wait and (state := self.state) is not None and state.seat(source) is None:
-            self.put_off.add(source)
+            self.put_off[source] = None
         told = {"k": "no", "b": message["b"], "p": list(register.promised), "w": wait}
         self.emit(source, {**told, "a": message["k"] == "accept"})
 
--- a/queenless/orders.py
+++ b/queenless/orders.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -114,7 +114,8 @@
     target: State | None = None
     began: float = 0.0
     phase_began: float = 0.0
-    wait: float = 0.0  # seconds for which another round may go first at a member that refused
+    put_off: bool = False  # a member lets another round go first
+    wait: float = 0.0  # seconds for which a round that outbid this one may take
 
 
 class Orders:
@@ -196,7 +197,8 @@
         state = self.register.state
         if self.round is not None and self.register.version > self.round.base.version:
             self.drop()  # another door's round has ended: what is left begins from there
-        if self.round is not None and self.round.refused and now - self.round.phase_began > LONG:
+        met = self.round is not None and (self.round.refused or self.round.put_off)
+        if met and self.round is not None and now - self.round.phase_began > LONG:
             self.give_up(now)  # who is left does not answer either
         if state is None or not self.open:
             self.drop()
@@ -304,7 +306,7 @@
             if target.digest != NO_WORD and kept is not None:
                 current.words[target.digest] = kept  # its order may end before the round does
             current.target, current.sent, current.refused = target, {}, set()
-            current.phase_began = now
+            current.phase_began, current.put_off = now, False
 
     def enough(self, now: float, current: Round, target: State) -> bool:
         """Whether a majority is there to accept.  A state that too few can accept would stay half agreed on, and keep
@@ -329,20 +331,31 @@
     def refused(
         self, now: float, source: str, ballot: Ballot, higher: Ballot, wait: float, brought: bool
     ) -> None:
-        """A member has promised a higher ballot, or lets another round go first, for some seconds at most.  The round
-        ends where too few are left for it.  `brought`: a state was refused, and not the asking for a promise."""
+        """A member has promised a higher ballot, or lets another round go first, for some seconds at most: then it is
+        asked again.  The round ends where too few are left for it.  `brought`: a state was refused, and not the
+        asking for a promise."""
         self.count = max(self.count, higher[0])
         current = self.round
         if current is None or current.ballot != ballot or brought is (current.target is None):
             return
+        if wait and not brought:
+            current.put_off = True
+            return
         current.refused.add(source)
         current.wait = max(current.wait, wait)
         sets = current.target.sets() if current.target is not None else self.asked_sets(current)
         needed = voices_needed if current.target is None else majority
-        left = [sum(m.ip not in current.refused for m in members) for members in sets]
+        have = current.promises if current.target is None else current.accepts
+        left = [sum(self.may_answer(now, m, current.refused, have) for m in members) for members in sets]
         if any(count < needed(len(members)) for count, members in zip(left, sets, strict=True)):
             self.give_up(now)
 
+    def may_answer(self, now: float, member: Member, refused: Collection[str], have: Collection[str]) -> bool:
+        """Whether a member has answered a round well, or may still: it has not refused, and is there."""
+        if member.ip in refused:
+            return False
+        return member.ip in have or member.ip == self.me[0] or self.answers(now, member)
+
     def drop(self) -> None:
         """End a round that has decided nothing; members that let it in need not keep others waiting for it."""
         if self.round is not None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -495,3 +495,31 @@
     closing = world.evacuate("d6", "z1", True)
     world.run(1.0)
     assert world.calls[closing].good and world.decided[max(world.decided)].closed == {"z1"}
+
+
+def test_a_member_that_comes_back_after_its_retirement_shows_nothing_old_and_joins_anew() -> None:
+    for seed in range(4):
+        world = settled_world(seed=seed)
+        world.kill("d4")
+        world.run(0.5)
+        world.add("d20", 3)
+        world.run(4.0)
+        assert [m.ip for m in world.decided[max(world.decided)].members] == ["d1", "d2", "d20", "d3"]
+        world.put("d1", 6)
+        world.run(1.0)
+        world.cut |= {("d4", name) for name in ("d1", "d2")} | {(name, "d4") for name in ("d1", "d2")}
+        world.start("d4")  # with its full disk, its old view, and two of those that it takes for members
+        reads = [world.read("d4"), world.put("d4", 6, "other"), world.read("d4")]
+        world.run(2.5)
+        core = world.doors["d4"].core
+        assert core is not None and not world.breaches
+        shown = [world.number(world.calls[token]) for token in reads if world.calls[token].good]
+        assert all(number == 6 for number in shown)
+        world.cut.clear()
+        world.run(6.5)
+        assert core.control.seated() and len(world.decided[max(world.decided)].members) == 5
+        for name in ("d1", "d2"):  # of five, two may go
+            world.kill(name)
+        token = world.put("d4", 7)
+        world.run(2.0)
+        assert world.calls[token].good and not world.breaches
