Ask for a table of servers by one message, which the agreement does not take for its own

Cause: found on rereading. Two parts that were joined used one kind of message: 'want' had become the agreement's, and a door that could not apply a change of a table still asked for the table by it. Its receiver failed on it and logged it; the door got the table only with the next look at what beats tell, some tenths of a second later.

Change: one function makes the message that asks for a table, for both who ask. The literal kind in test_herald.py follows.

Measured: the new test, which plays the whole way between two cores, fails with the old kind and passes now.

--- a/queenless/core.py
+++ b/queenless/core.py
@@ -16,7 +16,7 @@
 from queenless.beats import NEAR_BEAT, Beats
 from queenless.control import ASK_AGAIN, Control
 from queenless.deeds import Danced, Deed, Message, Poll, Send
-from queenless.herald import Herald
+from queenless.herald import Herald, ask_for
 from queenless.orders import Order
 from swarm.duties import Duties
 from swarm.peers import TERM, About, Peers
@@ -153,7 +153,7 @@
 
     def ask_news(self, now: float, service: str, version: int) -> None:
         has = self.peers.others_where(lambda peer: peer.news.get(service, 0) >= version)
-        self.ask_one(now, f"news {service}", has, {"k": "ask", "s": service})
+        self.ask_one(now, f"news {service}", has, ask_for(service))
 
     def ask_one(self, now: float, what: str, have: list[str], message: Message) -> None:
         """Ask the nearest that has it; one that did not answer in time, and the next one, in turn."""
--- a/queenless/herald.py
+++ b/queenless/herald.py
@@ -19,6 +19,11 @@
 NOTHING: tuple[float, Outs] = (-1e9, {})
 
 
+def ask_for(service: str) -> Message:
+    """The message that asks another door for its table of a service."""
+    return {"k": "ask", "s": service}
+
+
 class Herald:
     def __init__(self, peers: Peers) -> None:
         self.peers, self.news = peers, News()
@@ -46,7 +51,7 @@
         service, version = packed[:2]
         if not self.news.take(now, packed):
             core = self.peers.others()[:1] if self.news.newer({service: version}) else []
-            return [Send(ip, {"k": "want", "s": service}) for ip in core]
+            return [Send(ip, ask_for(service)) for ip in core]
         return [Changed(f"service:{service}"), *self.tell_zone(service, {"k": "news", "n": packed})]
 
     def tell_zone(self, service: str, message: Message) -> list[Deed]:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -523,3 +523,21 @@
         token = world.put("d4", 7)
         world.run(2.0)
         assert world.calls[token].good and not world.breaches
+
+
+def test_a_door_that_cannot_take_a_change_of_a_table_is_sent_the_table() -> None:
+    world = settled_world()
+    core, told = world.doors["d6"].core, []
+    assert core is not None
+    version, send = core.news.tables["shop"].version, world.send
+
+    def noted(source: str, to: str, message: Message) -> None:
+        told.append((source, to, message["k"]))
+        send(source, to, message)
+
+    world.send = noted  # type: ignore[method-assign]
+    change = ["shop", version + 5, [], version + 4, ["i-1"], 0]  # of a table that this door never had
+    world.deeds("d6", core.heard(world.now, "d1", {"k": "news", "n": change}))
+    world.run(0.1)
+    (asked,) = [to for source, to, kind in told if source == "d6" and kind == "ask"]
+    assert (asked, "d6", "news") in told
--- a/tests/test_herald.py
+++ b/tests/test_herald.py
@@ -122,7 +122,7 @@
             if chance.random() < 0.1:
                 continue  # lost on its way
             for deed in door.take(1.0, told):
-                if isinstance(deed, Send) and deed.message["k"] == "want":
+                if isinstance(deed, Send) and deed.message["k"] == "ask":
                     wants += 1
                     assert deed.to == "d0" and door.take(1.0, reader.news.pack(1.0, "shop"))
             assert door.news.tables["shop"].servers == reader.news.tables["shop"].servers, (step, n)
@@ -143,7 +143,7 @@
     change = reader.news.pack_change(1.0, "shop")
     assert len(change) == 6 and len(change[2]) == 1
     asked = door.take(1.0, change)
-    assert asked == [Send("d0", {"k": "want", "s": "shop"})]
+    assert asked == [Send("d0", {"k": "ask", "s": "shop"})]
     assert door.news.tables["shop"].servers.keys() == {"i-1", "i-3", "i-4"}
     assert door.take(1.0, reader.news.pack(1.0, "shop")) and door.take(1.0, change) == []
     assert door.news.tables["shop"].servers == reader.news.tables["shop"].servers
