Say once what the agreement said twice: who is at a seat, who is near, what is wanted, how a member refuses

Need: rereading the change. The disk that holds a seat was looked up in four ways, doors were sorted by nearness in two, the message that asks for the state in force was made twice, and one function answered both questions of a round through flags.

Change: Peers.at, Peers.near_first, Control.want; a function each for the asking, the bringing and the refusal; State.follow, which only tests called, and Herald.dance's default go. A leaver now counts only members at their own seats as holding the state, as all else does; otherwise nothing changes in behaviour.

--- a/comb/state.py
+++ b/comb/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any
 
 Ballot = tuple[
@@ -54,10 +54,6 @@
     def seated(self, ip: str, disk: int) -> bool:
         return disk != 0 and (member := self.seat(ip)) is not None and member.disk == disk
 
-    def follow(self, **changes: Any) -> State:
-        """The version after this one."""
-        return replace(self, version=self.version + 1, before=self.members, **changes)
-
 
 def state_of(row: Iterable[Any]) -> State:
     version, members, before, size, number, digest, closed = row
--- a/queenless/control.py
+++ b/queenless/control.py
@@ -56,7 +56,7 @@
         self.guest = NOBODY  # whose round is under way here: until when, whose, on what base, and whether it has chosen
         self.put_off: dict[
             str, None
-        ] = {}  # doors without a seat that were told to wait for what is under way
+        ] = {}  # doors without a seat that wait for what is under way, in their order
         self.own: list[Message] = []  # messages of this door to itself
         self.asked: tuple[float, int] = (-1e9, 0)  # when a newer state was asked for, and how often
         self.deeds: list[Deed] = []
@@ -89,9 +89,9 @@
         state = self.state
         if state is None or not self.seated():
             return False
-        others = [self.peers.peers.get(m.ip) for m in state.members if m.ip != self.peers.me.ip]
-        have = sum(p is not None and p.held is not None and p.held[0] >= state.version for p in others)
-        return have < min(len(others), majority(len(state.members)))
+        others = self.members.others(state)
+        have = sum(peer.held is not None and peer.held[0] >= state.version for peer in others)
+        return have < min(len(state.members) - 1, majority(len(state.members)))
 
     def voices(self, now: float) -> list[float]:
         """For each member that told of nothing above the state in force here: when it was asked."""
@@ -124,8 +124,7 @@
 
     def tick(self, now: float) -> list[Deed]:
         self.deeds = []
-        if self.failed:
-            self.failed = False
+        self.failed = False
         self.members.tick(now)
         return self.advance(now)
 
@@ -195,16 +194,16 @@
         has = self.peers.holding_above(self.register.version)
         at, times = self.asked
         if has and now - at >= ASK_AGAIN:
-            state = self.register.state
-            message = {
-                "k": "want",
-                "v": self.register.version,
-                "h": state.digest if state is not None else b"",
-            }
             alive = [ip for ip in has if self.peers.alive(now, ip)] or has
-            self.emit(alive[times % len(alive)], message)
+            self.want(alive[times % len(alive)])
             self.asked = (now, times + 1)
 
+    def want(self, of: str) -> None:
+        """Ask a door for the state in force there, and for its configuration where that is another one."""
+        state = self.register.state
+        holds = state.digest if state is not None else NO_WORD
+        self.emit(of, {"k": "want", "v": self.register.version, "h": holds})
+
     # --- the disk --------------------------------------------------------------------------------------------
 
     def answer(self, to: str, message: Message) -> None:
@@ -294,38 +293,52 @@
 
     def on_ask(self, now: float, source: str, message: Message) -> None:
         """Another door's round, or this door's own, asks for a promise or brings a state."""
-        register, ballot = self.register, ballot_of(message["b"])
+        register = self.register
         if not register.disk and not register.founder:
             return  # no seat can be here
         if message["d"] < register.version:
             self.tell(source, message.get("h", NO_WORD))
-        you = [register.disk, register.founder]
-        busy = message["k"] == "prepare" and self.busy(now, source, message["d"])
         if message["k"] == "prepare":
-            if not busy and register.prepare(ballot):
-                self.guest = (now + HOLD, source, message["d"], False)
-                held = register.accepted
-                told: Message = {"k": "promise", "b": message["b"], "u": you, "h": list(register.words)}
-                told["a"] = [list(held[0]), held[1].row()] if held is not None else None
-                if held is not None and held[1].version > message["d"] and held[1].digest != message["h"]:
-                    told["w"] = register.words.get(held[1].digest)
-                self.answer(source, told)
-                return
+            self.on_prepare(now, source, message)
         else:
-            try:
-                if register.accept(ballot, state_of(message["s"]), message.get("w")):
-                    self.guest = (now + HOLD, source, message["d"], True)
-                    self.answer(source, {"k": "accepted", "b": message["b"], "u": you})
-                    return
-            except Lacking:
-                self.emit(source, {"k": "lack", "b": message["b"]})
-                return
-        # who is outbid while it brings a state lets the higher ballot end first; one that is merely too low need not
-        outbid = message["k"] == "accept" and self.guest[1] != source
-        wait = max(0, int(1000 * (self.guest[0] - now))) if busy or outbid else 0
+            self.on_accept(now, source, message)
+
+    def on_prepare(self, now: float, source: str, message: Message) -> None:
+        register, held = self.register, self.register.accepted
+        if self.busy(now, source, message["d"]):
+            self.refuse(now, source, message, waits=True)
+        elif not register.prepare(ballot_of(message["b"])):
+            self.refuse(now, source, message, waits=False)
+        else:
+            self.guest = (now + HOLD, source, message["d"], False)
+            told: Message = {"k": "promise", "b": message["b"], "u": [register.disk, register.founder]}
+            told |= {
+                "h": list(register.words),
+                "a": [list(held[0]), held[1].row()] if held is not None else None,
+            }
+            if held is not None and held[1].version > message["d"] and held[1].digest != message["h"]:
+                told["w"] = register.words.get(held[1].digest)
+            self.answer(source, told)
+
+    def on_accept(self, now: float, source: str, message: Message) -> None:
+        register = self.register
+        try:
+            accepted = register.accept(ballot_of(message["b"]), state_of(message["s"]), message.get("w"))
+        except Lacking:
+            self.emit(source, {"k": "lack", "b": message["b"]})
+            return
+        if not accepted:  # who is outbid while it brings a state lets the higher ballot end first
+            self.refuse(now, source, message, waits=self.guest[1] != source)
+            return
+        self.guest = (now + HOLD, source, message["d"], True)
+        self.answer(source, {"k": "accepted", "b": message["b"], "u": [register.disk, register.founder]})
+
+    def refuse(self, now: float, source: str, message: Message, waits: bool) -> None:
+        """Answer no; `waits`: for no longer than another door's round may take here."""
+        wait = max(0, int(1000 * (self.guest[0] - now))) if waits else 0
         if wait and (state := self.state) is not None and state.seat(source) is None:
             self.put_off[source] = None
-        told = {"k": "no", "b": message["b"], "p": list(register.promised), "w": wait}
+        told = {"k": "no", "b": message["b"], "p": list(self.register.promised), "w": wait}
         self.emit(source, {**told, "a": message["k"] == "accept"})
 
     def busy(self, now: float, source: str, base: int) -> bool:
@@ -358,6 +371,4 @@
             self.learn(now, ballot_of(message["b"]), state_of(message["s"]), message.get("w"))
             self.asked = (-1e9, self.asked[1])
         except Lacking:
-            held = self.register.state
-            wants = {"k": "want", "v": self.register.version, "h": held.digest if held is not None else b""}
-            self.emit(source, wants)
+            self.want(source)
--- a/queenless/herald.py
+++ b/queenless/herald.py
@@ -62,15 +62,13 @@
             return []
         return [Send(ip, message) for ip in doors if ip != me.ip]
 
-    def dance(
-        self, now: float, outs: Outs, heard: Mapping[str, tuple[float, Outs]] | None = None
-    ) -> list[Deed]:
+    def dance(self, now: float, outs: Outs, heard: Mapping[str, tuple[float, Outs]]) -> list[Deed]:
         """Tell the doors of the zone where this door's requests are; and those of the region that are this door's
         to tell where the zone's are, `heard` being what its doors told, so that each hears of a zone from one."""
         self.look_around()
         deeds = self.tell(now, self.beside, ZONE_DANCE, outs)
         if self.beyond:
-            deeds += self.tell(now, self.beyond, REGION_DANCE, self.of_zone(outs, heard or {}))
+            deeds += self.tell(now, self.beyond, REGION_DANCE, self.of_zone(outs, heard))
         return deeds
 
     def look_around(self) -> None:
--- a/queenless/membership.py
+++ b/queenless/membership.py
@@ -84,8 +84,8 @@
 
     def others(self, state: State) -> list[Peer]:
         """Of the other members those that were heard from the disk that is seated."""
-        found = [(m, self.peers.peers.get(m.ip)) for m in state.members if m.ip != self.peers.me.ip]
-        return [peer for member, peer in found if peer is not None and peer.about.disk == member.disk]
+        found = [self.peers.at(member) for member in state.members if member.ip != self.peers.me.ip]
+        return [peer for peer in found if peer is not None]
 
     def silent(self, now: float, state: State, long: float = DEAD) -> list[Member]:
         """Members that this door has not heard for so long."""
@@ -101,11 +101,7 @@
         state = self.register.state
         assert state is not None
         self.known_at = {member: self.known_at.get(member, now) for member in state.members}
-        me = self.peers.me.ip
-        self.was_seated = self.was_seated or state.seated(me, self.register.disk)
-        if (
-            before is not None
-            and before.seated(me, self.register.disk)
-            and not state.seated(me, self.register.disk)
-        ):
+        me, disk = self.peers.me.ip, self.register.disk
+        self.was_seated = self.was_seated or state.seated(me, disk)
+        if before is not None and before.seated(me, disk) and not state.seated(me, disk):
             self.rejoin_at = now + REJOIN
--- a/queenless/orders.py
+++ b/queenless/orders.py
@@ -302,11 +302,13 @@
         target = found if found.version > current.base.version else self.wanted(current.base)
         if target is not current.base and not self.enough(now, current, target):
             return
-        if target.digest == NO_WORD or (kept := self.word(target.digest)) is not None:
-            if target.digest != NO_WORD and kept is not None:
-                current.words[target.digest] = kept  # its order may end before the round does
-            current.target, current.sent, current.refused = target, {}, set()
-            current.phase_began, current.put_off = now, False
+        if target.digest != NO_WORD:
+            word = self.word(target.digest)
+            if word is None:
+                return
+            current.words[target.digest] = word  # its order may end before the round does
+        current.target, current.sent, current.refused = target, {}, set()
+        current.phase_began, current.put_off = now, False
 
     def enough(self, now: float, current: Round, target: State) -> bool:
         """Whether a majority is there to accept.  A state that too few can accept would stay half agreed on, and keep
--- a/swarm/peers.py
+++ b/swarm/peers.py
@@ -128,10 +128,11 @@
 
     def others(self) -> list[str]:
         """The core without this door, the near ones first."""
+        return self.near_first(about for ip, about in self.core.items() if ip != self.me.ip)
+
+    def near_first(self, abouts: Iterable[About]) -> list[str]:
         me = self.me
-        far = {
-            ip: (a.zone != me.zone) + (a.region != me.region) for ip, a in self.core.items() if ip != me.ip
-        }
+        far = {a.ip: (a.zone != me.zone) + (a.region != me.region) for a in abouts}
         return sorted(far, key=lambda ip: (far[ip], ip))
 
     def others_where(self, has: Callable[[Peer], bool]) -> list[str]:
@@ -144,10 +145,12 @@
 
     def answers(self, now: float, member: Member) -> bool:
         """Whether a member has answered of late from the disk that holds its seat."""
+        return self.at(member) is not None and now - self.heard_at(member.ip) < SILENT
+
+    def at(self, member: Member) -> Peer | None:
+        """Another door that was heard, from the disk that holds this seat; anyone there for a seat of the founding."""
         peer = self.peers.get(member.ip)
-        if peer is None or now - peer.heard_at >= SILENT:
-            return False
-        return member.disk in (0, peer.about.disk)
+        return peer if peer is not None and member.disk in (0, peer.about.disk) else None
 
     def leaving(self, ip: str) -> bool:
         peer = self.peers.get(ip)
@@ -158,18 +161,16 @@
         told nothing above a version.  One that tells of a newer one now still spoke for the time before."""
         found = []
         for member in members:
-            peer = self.peers.get(member.ip)
-            if peer is None or peer.about.disk != member.disk or peer.held is None:
-                continue
-            found.append(peer.asked_at if max(peer.held) <= version else peer.clean_at)
+            peer = self.at(member)
+            if peer is not None and peer.held is not None:
+                found.append(peer.asked_at if max(peer.held) <= version else peer.clean_at)
         return found
 
     def holding_above(self, version: int) -> list[str]:
         """Doors that told of a newer state in force, the near ones first."""
-        has = [ip for ip, peer in self.peers.items() if peer.held is not None and peer.held[0] > version]
-        me = self.me
-        near = {ip: self.peers[ip].about for ip in has}
-        return sorted(has, key=lambda ip: ((near[ip].zone != me.zone) + (near[ip].region != me.region), ip))
+        return self.near_first(
+            peer.about for peer in self.peers.values() if peer.held is not None and peer.held[0] > version
+        )
 
     def heard_at(self, ip: str) -> float:
         peer = self.peers.get(ip)
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import Any
 
 import cbor2
 import pytest
@@ -16,8 +17,13 @@
 LOW, HIGH = (1, 7, "d1"), (2, 5, "d2")
 
 
+def follow(state: State, **changes: Any) -> State:
+    """The version after a state."""
+    return replace(state, version=state.version + 1, before=state.members, **changes)
+
+
 def with_word(digest: bytes, number: int = 2, base: State = FIRST) -> State:
-    return base.follow(number=number, digest=digest)
+    return follow(base, number=number, digest=digest)
 
 
 def written(register: Register, disk: dict[str, bytes]) -> dict[str, bytes]:
@@ -60,12 +66,12 @@
 def test_a_ballot_carries_one_state_and_a_second_one_under_it_changes_nothing() -> None:
     register = Register(1, True)
     register.accept(LOW, FIRST)
-    assert register.accept(LOW, FIRST.follow(closed=frozenset({"z1"})))
+    assert register.accept(LOW, follow(FIRST, closed=frozenset({"z1"})))
     assert register.accepted == (LOW, FIRST)
 
 
 def test_what_is_accepted_above_the_decided_version_is_pending_until_it_is_decided() -> None:
-    register, after = Register(1, True), FIRST.follow(closed=frozenset({"z1"}))
+    register, after = Register(1, True), follow(FIRST, closed=frozenset({"z1"}))
     register.learn(NO_BALLOT, FIRST)
     assert register.pending is None and register.version == 1
     register.accept(LOW, after)
@@ -75,7 +81,7 @@
 
 
 def test_an_older_decision_or_the_same_one_is_no_news() -> None:
-    register, after = Register(1, True), FIRST.follow(closed=frozenset({"z1"}))
+    register, after = Register(1, True), follow(FIRST, closed=frozenset({"z1"}))
     assert register.learn(LOW, after)
     assert not register.learn(LOW, after)
     assert not register.learn(HIGH, FIRST)
@@ -88,7 +94,7 @@
 def test_a_decision_never_lowers_what_is_promised_or_accepted(
     accepted: Ballot | None, promised: Ballot, then: Ballot
 ) -> None:
-    register, mine, other = Register(1, True), FIRST.follow(size=4), FIRST.follow(size=5)
+    register, mine, other = Register(1, True), follow(FIRST, size=4), follow(FIRST, size=5)
     if accepted is not None:
         register.accept(accepted, mine)
     register.prepare(promised)
