--- a/bench/own.py
+++ b/bench/own.py
@@ -70,13 +70,20 @@
 
 def play(bench: str, site: Path, day: Path, closing: str, seed: int | None) -> Play:
     """One run."""
-    found = Play(site.stem, day.stem, closing)
     with tempfile.TemporaryDirectory() as folder:
-        file, report = Path(folder) / day.name, Path(folder) / "report.json"
+        file = Path(folder) / day.name
         file.write_text(day.read_text() + CLOSINGS[closing])
         why = f"a day of one's own: {day.stem}, closing {closing}"
-        call = [bench, "run", str(site), str(file), "--no-cpu", "--why", why, "--report", str(report)]
-        call += ["--seed", str(seed)] if seed is not None else []
+        seeded = ["--seed", str(seed)] if seed is not None else []
+        return bench_run(bench, site, file, closing, why, ["--no-cpu", *seeded])
+
+
+def bench_run(bench: str, site: Path, day: Path, closing: str, why: str, extra: list[str]) -> Play:
+    """One run of a day in a file, and what the bench's report says of it."""
+    found = Play(site.stem, day.stem, closing)
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / "report.json"
+        call = [bench, "run", str(site), str(day), "--why", why, "--report", str(report), *extra]
         said = subprocess.run(call, capture_output=True, text=True, check=False)
         if not report.exists():
             found.wrong = ((said.stdout + said.stderr).strip().splitlines() or ["nothing was said"])[-1]
