--- a/fleetlab/wrongdoor.py
+++ b/fleetlab/wrongdoor.py
@@ -40,6 +40,7 @@
         self.banned: set[str] = set()
         self.count = 0
         self.hoard: list[Any] = []
+        self.unanswered: set[str] = set()  # requests that get no answer, also when they are sent once more
 
     def pick(self, but: str = "") -> dict[str, Any] | None:
         """Any server that is ready; the one that has started last, where it means to push that over."""
@@ -133,6 +134,8 @@
         except (OSError, ValueError, IndexError, asyncio.IncompleteReadError, TimeoutError):
             return "502", b""
         if strike and self.wrong == "answered":
+            self.unanswered.add(headers["request-id"])
+        if headers["request-id"] in self.unanswered:
             return None
         if strike and self.wrong == "bodies" and status == "200":
             return status, found[::-1]
