Deny an unknown route only while the core is heard, as an unknown key is

A door that is cut off or stopped for twenty seconds answered 404 for a route that a newer configuration has: a refusal that a client takes as final, from a door that cannot know. A key that it did not know got 503 with Retry-After already. Both now ask the same: was the core heard within the time for a revocation. Ruled out: 503 also for routes that are known: what is served by the last known configuration is soft state, and its doors are out of touch.

--- a/hive/front.py
+++ b/hive/front.py
@@ -147,15 +147,14 @@
         route = word.route(host, path.decode("latin-1")) or word.route(
             host.rpartition(":")[0], path.decode("latin-1")
         )
+        tenant = self.tenant(word, route, headers.get(b"authorization", b"")) if route is not None else None
+        unknown = route is None or (tenant is None and not route.open and bool(word.tenants))
+        if unknown and not front.fresh():  # the route or the key may be newer than what is known here
+            exchange.reply(Final(503, retry_after=UNKNOWN))
+            return
         if route is None:
             raise BadRequest("no such route", 404)
-        tenant = self.tenant(word, route, headers.get(b"authorization", b""))
-        if tenant is None and not route.open and word.tenants:
-            if not front.fresh():
-                exchange.reply(
-                    Final(503, retry_after=UNKNOWN)
-                )  # the key may be newer than what is known here
-                return
+        if unknown:
             raise BadRequest("no such key", 401)
         id_ = headers.get(ID, b"")
         if not id_ or len(id_) > 256:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
 
-from comb.word import Route
+from comb.word import Route, read
 from forage.gate import Asked, Forager, Told
-from hive.front import Carrier, Visitor, encode, flow_head
+from hive.front import Carrier, Front, Visitor, encode, flow_head
 from hive.servers import Line, Reply, Servers, Try, promise_kept
 from ivymux.caller import BadRequest, Exchange
 from ivymux.config import Address
@@ -210,6 +211,29 @@
     assert wire.sent.startswith(b"HTTP/1.1 %d " % status) and wire.closed
 
 
+@pytest.mark.parametrize(("path", "key", "status"), [("/new/a", "key", 404), ("/old/a", "new", 401)])
+def test_what_a_door_does_not_know_is_denied_only_while_it_hears_the_core(
+    path: str, key: str, status: int
+) -> None:
+    spec = {"hostName": "h", "pathPrefix": "/old/", "routeKind": "read_only", "service": "s"}
+    entries = [("routeTable", "r", spec), ("tenantTable", "t", {"accessKeys": ["key"]})]
+    rows = [{"resourceKind": k, "metadata": {"name": n}, "specification": s} for k, n, s in entries]
+    text = f"GET {path} HTTP/1.1\r\nHost: h\r\nX-Hazelspring-Attempt-Id: a\r\nAuthorization: Bearer {key}\r\n\r\n"
+
+    async def ask(fresh: bool) -> bytes:
+        host = SimpleNamespace(left=lambda request: None, counts=Counts())
+        front = Front(Address("127.0.0.1", 0), cast(Any, host), 9, lambda: fresh)
+        front.take_word(read(json.dumps({"versionNumber": "r1", "resourceList": rows}).encode()))
+        visitor, wire = Visitor(front), Wire()
+        visitor.connection_made(wire)
+        visitor.parser.feed_data(text.encode())
+        return bytes(wire.sent)
+
+    assert asyncio.run(ask(True)).startswith(b"HTTP/1.1 %d " % status)
+    unsure = asyncio.run(ask(False))
+    assert unsure.startswith(b"HTTP/1.1 503 ") and b"Retry-After" in unsure
+
+
 def test_a_connection_stands_idle_no_longer_than_its_server_says() -> None:
     async def run() -> None:
         servers = Servers(0.3, 9.0, 100, Counts())
