Spare a server what may be repeated once its client has gone

A read whose client had left ran on at its server, and its answer went to nobody: work that a burst has no slots for. The door cancels it now; writes and uploads run to their end, as a break would leave it open whether they ran. Ruled out: calling the server ill for it, as a cancelled try says nothing of it (in the test).

--- a/forage/gate.py
+++ b/forage/gate.py
@@ -146,7 +146,7 @@
             case i.Finished():
                 self.finished(event)
             case i.Left():
-                self.jobs.pop(event.request, None)
+                self.gone(event.request)
             case Granted():
                 self.credits.granted(now, event)
             case Lapsed():
@@ -266,6 +266,12 @@
         self.actions.append(action)  # type: ignore[arg-type]
         self.jobs.pop(job.request, None)
 
+    def gone(self, request: int) -> None:
+        """The client has gone.  A server need not finish what may be repeated; what may not goes on to its end."""
+        job = self.jobs.pop(request, None)
+        if job is not None and job.out and job.route.repeatable:
+            self.actions.append(i.Cancel(request, job.sent - 1))
+
     def finished(self, event: i.Finished) -> None:
         server, job = self.fleet.servers.get(event.backend), self.jobs.get(event.request)
         if server is not None:
--- a/tests/test_forage.py
+++ b/tests/test_forage.py
@@ -151,6 +151,21 @@
     assert isinstance(send, i.Send) and send.timeout == 0 and silent(gate, 3.5) == []
 
 
+def test_a_server_is_spared_what_may_be_repeated_once_its_client_has_gone_and_finishes_all_else() -> None:
+    gate = Gate("a1-0", "a1-1")
+    (read_,), (write,) = gate.ask("/r/1"), gate.ask("/w/1")
+    assert gate.handle(i.Left(read_.request)) == [i.Cancel(read_.request, 0)]
+    assert gate.handle(i.Left(write.request)) == [] and gate.handle(i.Left(read_.request)) == []
+    assert gate.ends(read_, Outcome.CANCELLED) == gate.ends(write, Outcome.OK) == []
+    (read_,) = gate.ask("/r/2")
+    (again,) = gate.ends(read_, Outcome.RESET)
+    assert gate.handle(i.Left(again.request)) == [i.Cancel(again.request, 1)]
+    gate.ends(again, Outcome.CANCELLED)
+    ill = [server.failures or server.out for server in gate.forager.fleet.servers.values()]
+    assert sum(ill) == 1  # by the reset; nothing is counted as out, and who was left is not taken for ill
+    assert isinstance(gate.ask("/r/3")[0], i.Send)
+
+
 def test_homes_evacuations_draining_and_cold_servers_leave_none() -> None:
     gate = Gate("a1-0", "b1-0")
     (send,) = gate.ask("/h/1")
