Fence the core that a rescue by hand replaces, by a lineage in the version

After a majority of the core's disks is lost for good no order is ever taken again, and after an upgrade from format 1 no core is ever founded. A new core made by hand from one disk ends both, but members of the old one may come back with their disks and decide on: two cores.

comb/rescue.py makes the state that goes on: one member, a disk that nobody knows, and a version in a lineage of its own, which is the version's high part. So wherever versions are compared the higher lineage is newer, format and wire stay as they are, and what stands without one reads as lineage 0. A round is of one lineage; who hears of a higher one says, confirms, votes, grants and learns nothing by the old one until the state has come; who takes the state over voids what it had accepted, at whatever ballot. A door of a rescued core tells doors that are behind, and beats to seeds outside its core each 2 s; at rest, and without a rescue, no message is added.

Ruled out: a field beside the version (every comparison and message changes), and a count far above the old one, as old members raise theirs by ours.

--- a/comb/register.py
+++ b/comb/register.py
@@ -6,7 +6,7 @@
 
 import cbor2
 
-from comb.state import NO_BALLOT, NO_WORD, Ballot, State, ballot_of, state_of
+from comb.state import LINEAGE, NO_BALLOT, NO_WORD, Ballot, State, ballot_of, lineage, state_of
 
 WORD = "word "  # begins the record of a configuration's bytes, by its digest
 
@@ -26,6 +26,7 @@
         self.promised: Ballot = NO_BALLOT
         self.accepted: tuple[Ballot, State] | None = None
         self.decided: tuple[Ballot, State] | None = None
+        self.fence = 0  # the highest lineage that was heard of
         self.words: dict[bytes, bytes] = {}  # configurations by digest, packed
         self.stale: set[str] = set()  # records that have to be written anew
         self.on_disk: set[str] = set()
@@ -47,6 +48,20 @@
             return None
         return self.accepted[1]
 
+    def told(self) -> dict[str, int]:
+        """The version in force for people: its number, and the lineage where there was a rescue."""
+        number = {"version": self.version % LINEAGE if self.version >= 0 else -1}
+        return number | ({"lineage": lineage(self.version)} if self.version >= LINEAGE else {})
+
+    def hear_of(self, version: int) -> None:
+        """Another door told of a version."""
+        self.fence = max(self.fence, lineage(version))
+
+    def fenced(self) -> bool:
+        """Whether the core was rescued (comb/rescue.py), and the state that goes on has yet to come here.  Until then
+        this door says, confirms and votes on nothing by what it holds."""
+        return self.fence > lineage(self.version)
+
     def word(self) -> bytes | None:
         """The bytes of the configuration in force, packed."""
         state = self.state
@@ -76,12 +91,15 @@
 
     def learn(self, ballot: Ballot, state: State, word: bytes | None = None) -> bool:
         """A state was decided at a ballot; whether that is news here; raises Lacking."""
-        if state.version <= self.version:
+        if state.version <= self.version or lineage(state.version) < self.fence:
             return False
         self.hold(state, word)
+        rescued = lineage(state.version) > lineage(
+            self.version
+        )  # what was accepted before is void, at any ballot
         self.decided = (ballot, state)
         self.stale.add("decided")
-        if self.accepted is None or self.accepted[0] < ballot:
+        if self.accepted is None or self.accepted[0] < ballot or rescued:
             self.accepted = (ballot, state)
             self.promised = max(self.promised, ballot)
             self.stale.add("vote")
--- a/comb/state.py
+++ b/comb/state.py
@@ -11,6 +11,7 @@
 ]  # a count, then the life and the address of its proposer: no two rounds share one
 NO_BALLOT: Ballot = (0, 0, "")
 NO_WORD = b""  # the digest before any configuration
+LINEAGE = 1 << 32  # versions of one lineage: more changes than a core ever sees
 
 
 @dataclass(slots=True, frozen=True, order=True)
@@ -73,6 +74,12 @@
     return State(0, seats, seats)
 
 
+def lineage(version: int) -> int:
+    """Which line of versions one belongs to: 0 from the founding on, a higher one from each rescue by hand on
+    (comb/rescue.py).  It is the version's high part, so wherever versions are compared the higher lineage is newer."""
+    return max(0, version) // LINEAGE
+
+
 def majority(members: int) -> int:
     """Disks that accept a state before it counts as decided."""
     return members // 2 + 1
--- a/hive/door.py
+++ b/hive/door.py
@@ -108,7 +108,7 @@
             name=settings.name,
             disk=bool(self.core.me.disk),
             first=settings.first,
-            version=self.core.control.register.version,
+            **self.core.control.register.told(),
         )
         self.tick()
 
@@ -137,7 +137,7 @@
         self.core = self.make_core(records, False)
         for what in (WORD, ZONES):
             self.changed(what)
-        log.say("comb", "reads the disk again", version=self.core.control.register.version)
+        log.say("comb", "reads the disk again", **self.core.control.register.told())
 
     def make_core(self, records: dict[str, bytes] | None, first: bool) -> Core:
         """The core on what the disk held; on an empty disk where that makes no sense, as what it promised is lost."""
@@ -353,7 +353,7 @@
             "ready": self.ready(),
             "configuration": self.word.number if self.word is not None else None,
             "closedZones": sorted(state.closed) if state is not None else [],
-            "version": core.control.register.version,
+            **core.control.register.told(),
             "core": {ip: core.beats.answers(now, ip) for ip in sorted(core.peers.core)},
             "member": core.control.seated(),
             "dropped": dict(core.dropped),
--- a/queenless/beats.py
+++ b/queenless/beats.py
@@ -140,10 +140,10 @@
 
     def may_grant(self, core_sum: int) -> bool:
         """Whether a member may promise a duty to one that names this core: not while its members are changing, as
-        majorities of two cores that follow each other but one need not meet."""
+        majorities of two cores that follow each other but one need not meet; nor once this one is known to be over."""
         pending, state = self.control.register.pending, self.control.state
         moving = pending is not None and state is not None and pending.members != state.members
-        return core_sum == self.peers.core_sum() and not moving
+        return core_sum == self.peers.core_sum() and not moving and not self.control.register.fenced()
 
     def take(self, now: float, about: About, message: Message, asked_at: float) -> Peer:
         """What an echo tells of its sender; `asked_at` is when its beat was sent."""
@@ -160,8 +160,10 @@
             peer.news, peer.holders = state["n"], state.get("d", {})
             peer.held = (state["h"]["v"], state["h"]["p"])
             peer.silent = frozenset(state.get("q", ()))
-        if peer.held is not None and max(peer.held) <= self.control.register.version:
-            peer.clean_at = asked_at
+        if peer.held is not None:
+            self.control.told_of(about.ip, peer.held[0])
+            if max(peer.held) <= self.control.register.version:
+                peer.clean_at = asked_at
         for duty in message.get("g", ()):
             self.duties.granted(duty, about.ip, asked_at, about.life)
         if "s" in message and message["s"] != self.peers.roster:
--- a/queenless/control.py
+++ b/queenless/control.py
@@ -7,12 +7,14 @@
 
 from comb.register import Lacking, Register, load
 from comb.state import (
+    LINEAGE,
     NO_BALLOT,
     NO_WORD,
     Ballot,
     State,
     ballot_of,
     founding,
+    lineage,
     majority,
     state_of,
     voices_needed,
@@ -59,6 +61,7 @@
         ] = {}  # doors without a seat that wait for what is under way, in their order
         self.own: list[Message] = []  # messages of this door to itself
         self.asked: tuple[float, int] = (-1e9, 0)  # when a newer state was asked for, and how often
+        self.behind: dict[str, None] = {}  # doors that told of a lower lineage than the one here
         self.deeds: list[Deed] = []
         if self.register.version > 0:
             self.peers.seat(self.register.state.members)  # type: ignore[union-attr]
@@ -73,7 +76,17 @@
     def held(self) -> list[int]:
         """What others are told: the version in force here, and the one that may be."""
         pending = self.register.pending
-        return [self.register.version, pending.version if pending is not None else -1]
+        told = pending.version if pending is not None else -1
+        return [
+            self.register.version,
+            max(told, self.register.fence * LINEAGE) if self.register.fenced() else told,
+        ]
+
+    def told_of(self, source: str, version: int) -> None:
+        """Another door told of the version in force there."""
+        self.register.hear_of(version)
+        if lineage(version) < lineage(self.register.version):
+            self.behind[source] = None
 
     def silent(self, now: float) -> dict[str, int]:
         """Members that this one takes for silent; the numbers say nothing."""
@@ -96,7 +109,7 @@
     def voices(self, now: float) -> list[float]:
         """For each member that told of nothing above the state in force here: when it was asked."""
         state = self.state
-        if state is None:
+        if state is None or self.register.fenced():
             return []
         times = self.peers.voices(state.members, state.version)
         if self.seated() and self.register.pending is None:
@@ -114,7 +127,7 @@
     def sure(self, order: Order, now: float) -> bool:
         """Whether the state in force here holds all that was decided before an order came."""
         state = self.state
-        if state is None:
+        if state is None or self.register.fenced():
             return False
         since = order.began
         told = sum(at >= since for at in self.voices(now))
@@ -141,10 +154,13 @@
     def advance(self, now: float) -> list[Deed]:
         """Bring orders and rounds on as far as they go, and save what has changed."""
         while True:
-            begins = self.orders.round is not None or not self.busy(
-                now, self.peers.me.ip, self.register.version
+            if self.register.fenced():
+                self.orders.drop()
+            idle = self.orders.round is None
+            waits = idle and (
+                self.register.fenced() or self.busy(now, self.peers.me.ip, self.register.version)
             )
-            for ask in self.orders.step(now) if begins else ():
+            for ask in () if waits else self.orders.step(now):
                 self.emit(ask.to, ask.message)
             while self.orders.over:
                 ask = self.orders.over.pop()
@@ -191,6 +207,8 @@
 
     def catch_up(self, now: float) -> None:
         """Ask for a newer state that another door has told of, whole; the nearest first, each in turn."""
+        while self.behind:
+            self.tell(self.behind.popitem()[0], NO_WORD)
         has = self.peers.holding_above(self.register.version)
         at, times = self.asked
         if has and now - at >= ASK_AGAIN:
@@ -298,6 +316,12 @@
             return  # no seat can be here
         if message["d"] < register.version:
             self.tell(source, message.get("h", NO_WORD))
+        theirs, own = lineage(message["d"]), lineage(register.version)
+        register.hear_of(message["d"])
+        if theirs > own:
+            self.want(source)
+        if theirs != own or self.register.fenced():
+            return  # a round is of one lineage, as all that its members accept
         if message["k"] == "prepare":
             self.on_prepare(now, source, message)
         else:
@@ -354,7 +378,7 @@
 
     def tell(self, to: str, holds: bytes) -> None:
         """The state in force here, with its configuration where the other has not got it."""
-        if self.register.decided is None or self.register.version <= 0:
+        if self.register.decided is None or self.register.version <= 0 or self.register.fenced():
             return
         ballot, state = self.register.decided
         message: Message = {"k": "decided", "b": list(ballot), "s": state.row()}
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -9,11 +9,11 @@
 
 import cbor2
 
-from comb.state import Member
+from comb.state import Member, lineage
 from comb.word import digest, number_of
 from nectar.counter import Counter
 from nectar.credits import Granted, Lapsed
-from queenless.beats import NEAR_BEAT, Beats
+from queenless.beats import FAR_BEAT, NEAR_BEAT, Beats
 from queenless.control import ASK_AGAIN, Control
 from queenless.deeds import Danced, Deed, Message, Poll, Send
 from queenless.herald import Herald, ask_for
@@ -109,10 +109,12 @@
             if anew or self.beats.due(now, ip, enough):
                 self.beat(now, ip)
         heard = any(self.peers.alive(now, ip) for ip in self.peers.others())
-        if not heard or (self.first and not self.settled()):
+        lost = not heard or (self.first and not self.settled())
+        rescued = lineage(self.control.register.version) > 0  # others may not know of it
+        if lost or rescued:
             for ip in self.seeds:
                 known = ip == self.me.ip or ip in self.peers.core
-                if not known and now - self.beats.sent_at(ip) >= NEAR_BEAT - 0.01:
+                if not known and now - self.beats.sent_at(ip) >= (NEAR_BEAT if lost else FAR_BEAT) - 0.01:
                     self.beat(now, ip)
         self.duties_on(now)
         if self.member():
--- a/queenless/membership.py
+++ b/queenless/membership.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from comb.register import Register
-from comb.state import Member, State
+from comb.state import Member, State, lineage
 from queenless.orders import Founding, Order, Orders
 from swarm.peers import Peer, Peers
 
@@ -103,5 +103,6 @@
         self.known_at = {member: self.known_at.get(member, now) for member in state.members}
         me, disk = self.peers.me.ip, self.register.disk
         self.was_seated = self.was_seated or state.seated(me, disk)
-        if before is not None and before.seated(me, disk) and not state.seated(me, disk):
+        retired = before is not None and before.seated(me, disk) and not state.seated(me, disk)
+        if retired and before is not None and lineage(before.version) == lineage(state.version):
             self.rejoin_at = now + REJOIN
--- a/tests/world.py
+++ b/tests/world.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from comb.state import State
+from comb.state import State, lineage
 from nectar.bounds import QuotaRule
 from nectar.credits import Granted, Lapsed
 from queenless.core import LIST, Core, Start
@@ -274,6 +274,11 @@
         call.ended, call.done = self.now, done
         if done.state is None:
             return
+        core = self.doors[call.door].core
+        if core is not None and lineage(done.state.version) < core.control.register.fence:
+            self.breaches.append(
+                f"{self.now:.2f} {call.kind} was settled by a lineage that is known to be over"
+            )
         before = [c for c in self.calls.values() if c.ended < call.at and c.version > call.version]
         if before:
             self.breaches.append(
