--- /dev/null
+++ b/comb/offline.py
@@ -0,0 +1,120 @@
+"""A store's file while no door runs on it: read from a copy, or replaced whole, with what it held kept beside it."""
+
+from __future__ import annotations
+
+import fcntl
+import hashlib
+import os
+import shutil
+import sqlite3
+import tempfile
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from comb.store import FORMAT, TABLES, StoreError, row_sum
+from comb.word import Stamp
+
+FIRST_SHARED, SHARED = 0x40000002, 510  # the bytes of a file that SQLite locks, whoever reads it
+ENDS = ("", "-wal", "-journal")
+
+
+@dataclass(slots=True)
+class Found:
+    """What a file holds: records by name (format 2), or items by key and marks (format 1)."""
+
+    format: int
+    records: dict[str, bytes] = field(default_factory=dict)
+    items: dict[str, tuple[Stamp, bytes]] = field(default_factory=dict)
+    marks: dict[str, bytes] = field(default_factory=dict)
+    wrong: list[str] = field(default_factory=list)  # rows whose sum is wrong; they are left out
+
+
+def item_sum(key: str, number: int, tie: bytes, body: bytes) -> bytes:
+    """As format 1 had it."""
+    text = b"%s %d %s " % (key.encode(), number, tie)
+    return hashlib.blake2b(text + body, digest_size=16).digest()
+
+
+def look(path: Path) -> Found:
+    """What a file holds; nothing is written, not even what SQLite would do by opening it.  Raises StoreError where it
+    is in use, damaged, or of a format that is not known."""
+    try:
+        with path.open("rb") as file, tempfile.TemporaryDirectory() as folder:
+            fcntl.lockf(file, fcntl.LOCK_SH | fcntl.LOCK_NB, SHARED, FIRST_SHARED)
+            copy = Path(folder) / "copy"
+            for end in ENDS:
+                if Path(f"{path}{end}").exists():
+                    shutil.copyfile(f"{path}{end}", f"{copy}{end}")
+            base = sqlite3.connect(copy, isolation_level=None)
+            try:
+                return read(base)
+            finally:
+                base.close()
+    except BlockingIOError as error:
+        raise StoreError("look", OSError(f"{path} is in use: stop the door that runs on it")) from error
+    except (sqlite3.Error, OSError) as error:
+        raise StoreError("look", error) from error
+
+
+def read(base: sqlite3.Connection) -> Found:
+    (form,) = base.execute("pragma user_version").fetchone()
+    if form not in (1, FORMAT):
+        raise sqlite3.DatabaseError(f"format {form} is not known")
+    if base.execute("pragma quick_check").fetchone() != ("ok",):
+        raise sqlite3.DatabaseError("damaged")
+    found = Found(form)
+    if form == FORMAT:
+        for name, body, told in base.execute("select name, body, sum from record order by name"):
+            if row_sum(name, body) == told:
+                found.records[name] = body
+            else:
+                found.wrong.append(name)
+        return found
+    for key, number, tie, body, told in base.execute(
+        "select key, number, tie, body, sum from item order by key"
+    ):
+        if item_sum(key, number, tie, body) == told:
+            found.items[key] = ((number, tie), body)
+        else:
+            found.wrong.append(key)
+    found.marks = dict(base.execute("select name, body from mark"))
+    return found
+
+
+def replace_all(path: Path, records: Mapping[str, bytes], kept: Path) -> None:
+    """Put records in the place of all that a file of either format holds, all at once; what it held is in the file
+    `kept` before that.  Raises StoreError, also where a door runs on the file."""
+    try:
+        base = sqlite3.connect(path, timeout=0.0, isolation_level=None)
+        try:
+            base.execute("pragma locking_mode=exclusive")
+            base.execute("pragma synchronous=extra")
+            base.execute("pragma journal_mode=wal")
+            base.execute("begin immediate")  # from here on nobody else has it
+            base.execute("commit")
+            copy = sqlite3.connect(kept)
+            base.backup(copy)
+            copy.close()
+            sync(kept)
+            sync(kept.parent)
+            base.execute("begin immediate")
+            for table in ("item", "mark", "record"):
+                base.execute(f"drop table if exists {table}")
+            base.execute(TABLES)
+            rows = [(name, body, row_sum(name, body)) for name, body in records.items()]
+            base.executemany("insert into record values (?, ?, ?)", rows)
+            base.execute(f"pragma user_version={FORMAT}")
+            base.execute("commit")
+        finally:
+            base.close()  # takes back what was not committed
+    except (sqlite3.Error, OSError) as error:
+        raise StoreError("replace", error) from error
+
+
+def sync(path: Path) -> None:
+    handle = os.open(path, os.O_RDONLY)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
--- a/hive/__main__.py
+++ b/hive/__main__.py
@@ -12,7 +12,7 @@
 
 import uvloop
 
-from hive import log
+from hive import log, rescue
 from hive.door import Door
 from hive.settings import Settings, SettingsError, load
 
@@ -68,11 +68,19 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     parser = argparse.ArgumentParser(prog="hivedoor", description="A door of hazelspring, on any machine.")
     calls = parser.add_subparsers(dest="call", required=True)
-    for name, text in (("door", "serve"), ("check", "say whether the settings file can be used")):
+    for name, text in (
+        ("door", "serve"),
+        ("check", "say whether the settings file can be used"),
+        ("rescue", "make a new core from a stopped door's disk, or say what the disk holds"),
+    ):
         call = calls.add_parser(name, help=text)
         path = os.environ.get("HAZELSPRING_SETTINGS")
         call.add_argument("--settings", default=path, help="path of the settings file")
+        if name == "rescue":
+            rescue.add(call)
     chosen = parser.parse_args(arguments)
+    if chosen.call == "rescue":
+        return rescue.run(chosen)
     if not chosen.settings:
         parser.error("no settings file: name one, or set HAZELSPRING_SETTINGS")
     try:
--- /dev/null
+++ b/hive/rescue.py
@@ -0,0 +1,150 @@
+"""hivedoor rescue: a new core by hand from a stopped door's disk, after more was lost than the core bears."""
+
+from __future__ import annotations
+
+import argparse
+import secrets
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import cbor2
+
+from comb.offline import Found, look, replace_all
+from comb.register import Register, load
+from comb.rescue import ZONE, Source, Unfit, newest, of_items, of_register, rescued, usable
+from comb.state import LINEAGE, NO_WORD, Ballot, Member, State, lineage
+from comb.store import StoreError
+from hive.settings import SettingsError
+from hive.settings import load as load_settings
+
+FILE, ASIDE = "comb.sqlite", "comb.sqlite.aside"
+USAGE = 2
+HELP = """Exit status 0: listed, or the disk now holds the new core; 1: refused, and nothing is changed (the file is in
+use, damaged, or holds nothing that was agreed on); 2: a word of the command or the settings file is wrong."""
+
+
+def add(call: argparse.ArgumentParser) -> None:
+    call.epilog = HELP
+    call.add_argument("--list", action="store_true", help="say what the disk holds, and write nothing")
+    call.add_argument("--data", help="the folder of the disk, where it is not the one of the settings file")
+    call.add_argument("--from", action="append", dest="files", metavar="FILE", default=[],
+                      help="go on from this store file; may stand more than once, of format 1")  # fmt: skip
+    call.add_argument("--take", choices=("accepted", "decided"), default="accepted",
+                      help="what to go on from where a state was accepted and is not known to be decided")  # fmt: skip
+    call.add_argument("--size", type=int, default=0, help="doors with a disk that the core is meant to have")
+    call.add_argument("--old-core-is-stopped", action="store_true", dest="stopped",
+                      help="no majority of the old core runs, or will, out of reach of this door")  # fmt: skip
+
+
+def run(chosen: argparse.Namespace) -> int:
+    """Carry out the call; the exit status, see HELP."""
+    try:
+        settings = load_settings(chosen.settings) if chosen.settings else None
+        folder = chosen.data or (settings.folder if settings is not None else "")
+        files = [Path(file) for file in chosen.files]
+        if not folder and not (chosen.list and files):
+            return refuse("settings: no disk is named: use --settings or --data", USAGE)
+        if chosen.list:
+            there = files or [Path(folder) / name for name in (FILE, ASIDE)]
+            return show([path for path in there if files or path.exists()] or there[:1])
+        if settings is None:
+            return refuse("settings: a rescue wants the door's settings file", USAGE)
+        if not chosen.stopped:
+            return refuse("say --old-core-is-stopped once it is so: two cores would serve and decide", USAGE)
+        target = Path(folder) / FILE
+        found = [look(path) for path in files or [target]]
+        source, marks = chosen_source(found, chosen.take == "accepted")
+        if not (chosen.size or source.state.size):
+            return refuse("size: format 1 does not tell it: use --size", USAGE)
+        usable(source)
+        now = (int(time.time() * 1000) << 8) + secrets.randbits(8)
+        member = Member(settings.ip, settings.zone, settings.region, now)
+        register = rescued(source, member, chosen.size, now)
+        records = {name: body for name, body in register.take_records().items() if body is not None}
+        kept = Path(f"{target}.before-{now}")
+        replace_all(target, marks | records, kept)
+    except SettingsError as error:
+        return refuse(f"{error.code}: {error}", USAGE)
+    except (StoreError, Unfit) as error:
+        return refuse(f"{error.code}: {error}", 1)
+    assert register.decided is not None
+    print(f"{target}: holds a new core; what it held is in {kept}")
+    print(f"  {told(*register.decided)}")
+    return 0
+
+
+def refuse(text: str, status: int) -> int:
+    print(f"hivedoor: {text}", file=sys.stderr)
+    return status
+
+
+def chosen_source(found: list[Found], accepted: bool) -> tuple[Source, dict[str, bytes]]:
+    """What to go on from, and the marks to keep; raises Unfit."""
+    wrong = [name for one in found for name in one.wrong]
+    if wrong:
+        raise Unfit(f"the sum of {', '.join(wrong)} is wrong")
+    if {one.format for one in found} == {1}:
+        doors = max(int(one.marks.get("doors", b"0")) for one in found)
+        return of_items(newest(one.items for one in found)), {"mark doors": str(doors).encode()}
+    if len(found) > 1:
+        raise Unfit("only files of format 1 can be put together: name one")
+    marks = {name: body for name, body in found[0].records.items() if name.startswith("mark ")}
+    return of_register(register_of(found[0]), accepted), marks
+
+
+def register_of(found: Found) -> Register:
+    """Raises Unfit where the records tell none."""
+    if "disk" not in found.records:
+        raise Unfit("nothing was ever kept here")
+    try:
+        return load(found.records, 0, False)
+    except (ValueError, TypeError, cbor2.CBORDecodeError) as error:
+        raise Unfit(str(error)) from None
+
+
+# --- what a disk holds ------------------------------------------------------------------------------------------------
+
+
+def show(paths: list[Path]) -> int:
+    """Say what files hold, a part a line; 1 where one of them cannot be read."""
+    bad = 0
+    for path in paths:
+        try:
+            found = look(path)
+            lines = list(items_told(found) if found.format == 1 else register_told(register_of(found)))
+        except (StoreError, Unfit) as error:
+            bad = refuse(f"{error.code}: {path}: {error}", 1)
+            continue
+        print(
+            f"{path}: format {found.format}, sums {'good' if not found.wrong else 'WRONG of ' + ', '.join(found.wrong)}"
+        )
+        for line in lines:
+            print(f"  {line}")
+        bad |= bool(found.wrong)
+    return bad
+
+
+def register_told(register: Register) -> Iterator[str]:
+    yield f"disk      {register.disk}  promised up to ballot {register.promised[0]} of {register.promised[2] or 'none'}"
+    yield f"decided   {told(*register.decided)}" if register.decided is not None else "decided   nothing"
+    if register.accepted is not None and register.pending is not None:
+        yield f"accepted  {told(*register.accepted)}, which may have been acknowledged"
+
+
+def told(ballot: Ballot, state: State) -> str:
+    word = f"r{state.number} {state.digest.hex()}" if state.digest != NO_WORD else "no configuration"
+    members = " ".join(f"{member.ip}/{member.disk}" for member in state.members)
+    return (
+        f"lineage {lineage(state.version)} version {state.version % LINEAGE} ballot {ballot[0]}  {word}"
+        f"  closed {','.join(sorted(state.closed)) or 'none'}  core of {state.size}: {members}"
+    )
+
+
+def items_told(found: Found) -> Iterator[str]:
+    for key, ((number, tie), body) in found.items.items():
+        if key.startswith(ZONE):
+            yield f"{key} {'closed' if body == b'1' else 'open'}  stamp {number} {tie.hex()}"
+        else:
+            yield f"r{number} {tie.hex()}"
