Wait after a 429 of the platform as its rate says, and keep the pages read so far

Cause: a page that was refused for too many calls was asked for again at once, from the list's first page on, by every door that had been refused; the next try was no later than any other look. Change: only a connection that brought no answer is opened anew at once. After a 429 the same page is asked for again after the time that one call takes of the rate in the settings, doubled each time and spread, three eighths of a second at most before the spread, all within the 1.5 s that a list may take, so that DRAIN's sum stands. Ruled out: counting the calls of all doors ahead, as one door reads the list for all but after a common loss.

--- a/hive/door.py
+++ b/hive/door.py
@@ -68,7 +68,7 @@
         self.reported: Counter[str] = Counter()
         self.reported_at = 0.0
         self.core_ticked = self.fresh_at = -1e9
-        self.platform = Platform(settings.platform)
+        self.platform = Platform(settings.platform, settings.platform_rate)
         self.tasks: set[asyncio.Task[Any]] = set()
         most = settings.descriptors - OTHER_FILES
         fleet = Fleet(settings.zone, settings.region, settings.zones, random.Random(self.life))
@@ -191,9 +191,9 @@
             return
         old, self.settings = self.settings, settings
         self.core.seeds = list(settings.seeds)
-        if settings.platform != old.platform:
+        if (settings.platform, settings.platform_rate) != (old.platform, old.platform_rate):
             self.platform.close()
-            self.platform = Platform(settings.platform)
+            self.platform = Platform(settings.platform, settings.platform_rate)
         log.say("hive", "uses new settings", seeds=",".join(settings.seeds))
 
     def report(self, now: float) -> None:
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,91 @@
+"""The platform's list over a loopback socket: pages, refusals for too many calls, and how long is waited for them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+
+import pytest
+
+from hive.platform import MOST_PAUSE, PATIENCE, Platform, PlatformError
+from ivymux.config import parse_address
+from waggle.news import parse
+
+from .sockets import listening, run
+
+ENTRY = {"service": "s", "address": "x:1", "zone": "a1", "serverState": "accepting"}
+PAGES = {"/instances": ("i-1", "p 2"), "/instances?pageToken=p%202": ("i-2", None)}
+
+
+class Listing:
+    """A platform with two pages that refuses the first few asks for each of them."""
+
+    def __init__(self, refusals: int, status: int = 429, last: bool = False) -> None:
+        self.refusals, self.status, self.last = refusals, status, last
+        self.asked: Counter[str] = Counter()
+        self.connections = 0
+        self.paused: list[float] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        while True:
+            path = (await reader.readuntil(b"\r\n\r\n")).split()[1].decode()
+            self.asked[path] += 1
+            name, token = PAGES[path]
+            body = json.dumps({"instanceList": {name: ENTRY}, "nextToken": token}).encode()
+            status = self.status if self.asked[path] <= self.refusals else 200
+            writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body))
+            if self.last:
+                return
+
+    async def pause(self, seconds: float) -> None:
+        self.paused.append(seconds)
+
+    async def read(self, rate: float, times: int = 1) -> list[bytes]:
+        async with listening(self.serve) as address:
+            platform = Platform(parse_address(address), rate, self.pause)
+            try:
+                for _ in range(times):
+                    found = await platform.pages()
+                return found
+            finally:
+                platform.close()
+
+
+def test_a_page_refused_for_too_many_calls_is_asked_for_again_as_the_rate_says() -> None:
+    async def play() -> None:
+        many = [Listing(2) for _ in range(6)]
+        for listing in many:
+            assert set(parse(await listing.read(10.0), 0.0)["s"]) == {"i-1", "i-2"}
+            assert set(listing.asked.values()) == {3} and listing.connections == 1  # what was read is kept
+            bounds = 2 * [(0.05, 0.15), (0.1, 0.3)]
+            assert all(low <= p <= high for p, (low, high) in zip(listing.paused, bounds, strict=True))
+        assert len({listing.paused[0] for listing in many}) > 1  # doors refused together do not come so again
+
+    run(play())
+
+
+@pytest.mark.parametrize("rate", [0.1, 2.0, 44.0])
+def test_a_platform_that_refuses_all_is_given_up_within_the_time_for_the_list(rate: float) -> None:
+    async def play() -> None:
+        listing = Listing(10**6)
+        with pytest.raises(PlatformError, match="429"):
+            await listing.read(rate)
+        assert sum(listing.paused) == pytest.approx(PATIENCE) and max(listing.paused) <= 1.5 * MOST_PAUSE
+        assert 3 <= listing.asked["/instances"] <= 14
+
+    run(play())
+
+
+def test_only_a_connection_that_broke_is_opened_anew_at_once() -> None:
+    async def play() -> None:
+        broken = Listing(0, last=True)
+        assert len(await broken.read(10.0, times=2)) == 2
+        assert broken.connections == 4 and not broken.paused
+        ill = Listing(1, status=500)
+        with pytest.raises(PlatformError, match="500"):
+            await ill.read(10.0)
+        assert ill.asked["/instances"] == 1 and not ill.paused
+
+    run(play())
