Know servers by the part of their requests that fail, errors and refusals too

One that turns all away, or goes down and up by turns, got its full share too, as half a second without requests after a failure is less than the time between two. Change: each door keeps the part of its requests that failed at a server, the newest with a quarter's weight, halved each 5 s without any; a failure costs four times a request's usual time in the choice. Where all fail alike none is left out.

--- a/apiary/stands.py
+++ b/apiary/stands.py
@@ -60,14 +60,19 @@
     last: Headers = field(default_factory=dict)  # of the request that it ran last
     busy: int = 0
     apart: bool = False  # a process of its own serves it: here it is only listed
+    well: bool = True  # what its health says
+    probes: int = 0  # health requests that it got
+    misdirected: int = 0  # requests for another life that it turned away
     notes: int = -1  # the descriptor of a file that is told what runs, before it does
 
     async def handle(
         self, method: str, path: str, headers: Headers, body: bytes
     ) -> tuple[int, Headers, bytes]:
         if path == "/health":
-            return 200, {"X-Hazelspring-Answering-Instance": self.id}, b"well\n"
+            self.probes += 1
+            return 200 if self.well else 503, {"X-Hazelspring-Answering-Instance": self.id}, b""
         if headers.get("x-hazelspring-expected-instance", self.id) != self.id:
+            self.misdirected += 1
             return 421, {"X-Hazelspring-Answering-Instance": self.id, "X-Hazelspring-Not-Executed": "1"}, b""
         attempt = headers.get("x-hazelspring-attempt-id", "")
         if not attempt:
--- a/forage/fleet.py
+++ b/forage/fleet.py
@@ -13,6 +13,9 @@
 HEARSAY = 1.0  # seconds for which a door's word of its own requests counts
 SUSPECT = 0.5  # seconds without requests after a failure, doubled with each further one
 MOST_SUSPECT = 4.0
+ILL = 0.25  # weight of the newest answer in the part of a server's requests that fail,
+ILL_FADE = 5.0  # seconds in which what is known of that counts half: nothing else tells that it is well again
+ILL_COST = 4.0  # further times a request's usual time that a failure costs: another try, or its worth
 OTHER_ZONE = (
     0.06  # part of a request's usual time that a way into another zone must gain, as bytes between zones cost
 )
@@ -42,6 +45,17 @@
     pace: float = 1.0  # its time for a request against that of all
     failures: int = 0  # in a row
     suspect_until: float = 0.0
+    failing: float = 0.0  # the part of this door's requests there that failed, as it was known
+    failing_at: float = 0.0  # then
+
+    def ill(self, now: float) -> float:
+        """The part of requests that fail there, 0 to 1, as far as this door has seen: health answers may be false."""
+        return self.failing * 0.5 ** ((now - self.failing_at) / ILL_FADE) if self.failing else 0.0
+
+    def tell(self, now: float, failed: bool) -> None:
+        """One more request has ended."""
+        before = self.ill(now)
+        self.failing, self.failing_at = before + ILL * (failed - before), now
 
     def busy(self, now: float) -> float:
         """Requests there: this door's, those that others tell of and, fading, what the server told beyond them."""
@@ -162,6 +176,7 @@
             if server.zone != self.zone:
                 far = OTHER_REGION if server.region != self.region else OTHER_ZONE
                 score += start * far * (UPLOADS if upload else 1.0)
+            score *= 1 + ILL_COST * server.ill(now)
             if now < server.suspect_until:
                 score += 10.0
             score *= 1 + 0.02 * self.random.random()
@@ -172,6 +187,7 @@
     def heard(self, now: float, server: Server, route: str, spent: float, report: tuple[float, ...]) -> None:
         """An answer: how long it took, and the load that the server told with it."""
         server.failures, server.suspect_until = 0, 0.0
+        server.tell(now, failed=False)
         usual = self.usual.get(route)
         if usual is None:
             usual = self.usual[route] = Usual(spent)
@@ -185,5 +201,13 @@
             server.told_out, server.told_at = server.out + server.others, now
 
     def failed(self, now: float, server: Server) -> None:
+        """A request failed there, whether it may have run or not."""
+        server.tell(now, failed=True)
         server.failures += 1
         server.suspect_until = now + min(MOST_SUSPECT, SUSPECT * 2 ** (server.failures - 1))
+
+    def full(self, now: float, server: Server) -> None:
+        """It turned a request away.  One that does so again and again is no better than one that fails."""
+        server.tell(now, failed=True)
+        server.running, server.waiting = max(server.running, server.slots), server.slots
+        server.told_out, server.told_at = server.out + server.others, now
--- a/forage/gate.py
+++ b/forage/gate.py
@@ -23,6 +23,7 @@
 PATIENCE_AIM = 0.5  # but not before this part of its aim
 LOOK = 0.25  # seconds until it is looked again whether it may be: servers and the allowance seldom come back sooner
 START = 0.5  # part of its aim that a route's requests are taken to need before one was seen
+FAILURES = (Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMEOUT, Outcome.ERROR)
 FIRST = 0.75  # seconds for a cold server's time to pass, beyond what it is told
 
 
@@ -279,9 +280,8 @@
             if event.outcome is Outcome.OK and job is not None:
                 self.fleet.heard(self.now, server, job.route.name, event.spent, event.report)
             elif event.outcome is Outcome.FULL:
-                server.running, server.waiting = max(server.running, server.slots), server.slots
-                server.told_out, server.told_at = server.out + server.others, self.now
-            elif event.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMEOUT):
+                self.fleet.full(self.now, server)
+            elif event.outcome in FAILURES:
                 self.fleet.failed(self.now, server)
         if job is None:
             return
