--- a/tests/scenarios/swarm.feature
+++ b/tests/scenarios/swarm.feature
@@ -45,6 +45,18 @@
     And 1 second passes
     Then the list has a holder
 
+  Scenario: All doors are stopped and started in turn while the operator and the platform go on
+    Given 4 core doors and 4 others
+    And configuration 5 is everywhere
+    When every door leaves in order and is back 1.0 seconds later, one each 1.2 seconds
+    And meanwhile 3.0 seconds in the operator sends configuration 6 to door 8 and a server is drained
+    And 12 seconds pass
+    Then no duty was without a holder for longer than 1.0 seconds
+    And configuration 6 is acknowledged
+    And every door uses configuration 6
+    And every door knows that it is drained
+    And every door has had a new life
+
   Scenario: All processes are killed and duties go on without a term of silence
     Given 4 core doors and 3 others
     And configuration 5 is everywhere
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -28,6 +28,7 @@
 
     def __init__(self) -> None:
         self.tokens: dict[int, list[int]] = {}
+        self.without: dict[int, float] = {}  # seconds for which a duty has had no holder, the longest
 
     def names(self, text: str) -> list[str]:
         return [f"d{number}" for number in re.findall(r"\d+", text)]
@@ -212,6 +213,45 @@
     stage.world.deeds(holder, core.drain(stage.world.now))
 
 
+@when(
+    parsers.parse("every door leaves in order and is back {down:f} seconds later, one each {gap:f} seconds")
+)
+def roll(stage: Stage, down: float, gap: float) -> None:
+    """As hive.door drains: duties are given up at once, the process ends once clients know; then the next."""
+    world = stage.world
+
+    def leave(name: str) -> None:
+        core: Any = world.doors[name].core
+        core.ready = False
+        world.deeds(name, core.drain(world.now))
+        world.at(world.now + down / 2, partial(world.kill, name))
+        world.at(world.now + down, partial(world.start, name))
+
+    for n, name in enumerate(world.doors):
+        world.at(world.now + n * gap, partial(leave, name))
+    held = dict.fromkeys(range(SHARDS + 1), world.now)
+
+    def look() -> None:
+        for duty, since in held.items():
+            if stage.holder(duty) is not None:
+                held[duty] = world.now
+            stage.without[duty] = max(stage.without.get(duty, 0.0), world.now - since)
+        world.at(world.now + 0.05, look)
+
+    look()
+
+
+@when(
+    parsers.parse(
+        "meanwhile {seconds:f} seconds in the operator sends configuration {number:d} to door {door:d} "
+        "and a server is drained"
+    )
+)
+def meanwhile(stage: Stage, seconds: float, number: int, door: int) -> None:
+    stage.world.at(stage.world.now + seconds, lambda: put(stage, number, door))
+    stage.world.at(stage.world.now + seconds, lambda: drained(stage))
+
+
 @when("the doors that do not hold the list are killed and come back while its holder is cut off from one")
 def forgetful(stage: Stage) -> None:
     holder = stage.holder()
@@ -331,6 +371,16 @@
     assert count > 2 or {about.region for about in found} == {region}
 
 
+@then(parsers.parse("no duty was without a holder for longer than {seconds:f} seconds"))
+def few_gaps(stage: Stage, seconds: float) -> None:
+    assert len(stage.without) == SHARDS + 1 and max(stage.without.values()) <= seconds
+
+
+@then("every door has had a new life")
+def new_lives(stage: Stage) -> None:
+    assert {door.lives for door in stage.world.doors.values()} == {2}
+
+
 @then("the list has a holder")
 def has_holder(stage: Stage) -> None:
     assert stage.holder() is not None
