Scale run: what a door costs by size, in fleets shaped as the deployments are

Need: docs/system.md did not say what a door and a core member cost a second at the sizes of the sites, only CAPACITY.md at the target's.

--- a/bench/scale.py
+++ b/bench/scale.py
@@ -7,6 +7,7 @@
     python bench/scale.py words                configurations of 100 to 57,000 routes
     python bench/scale.py parts                tables and lists at the size of the target
     python bench/scale.py carry                requests a second through one real door on loopback
+    python bench/scale.py sizes                the table of docs/system.md: fleets shaped as the deployments are
     python bench/scale.py page                 the tables of the page from the figures at hand
 
 Figures are kept in bench/scale/found/, each part with the command and the revision that gave it.
--- a/bench/scale/cli.py
+++ b/bench/scale/cli.py
@@ -12,8 +12,8 @@
 from pathlib import Path
 from typing import Any
 
-from bench.scale import carry, page, parts, phases, rounds, words
-from bench.scale.figures import FOLDER, ROOT, keep
+from bench.scale import carry, page, parts, phases, rounds, sizes, words
+from bench.scale.figures import FOLDER, ROOT, keep, load
 
 DOORS = (30, 100, 300, 1000, 4500)
 SMALL = 1000  # doors up to which a size is played whole,
@@ -63,6 +63,10 @@
     return f"parts-{number}", parts.measure(number)
 
 
+def shape(doors: int) -> tuple[str, Any]:
+    return f"sizes-{doors}", sizes.measure(doors)
+
+
 def carried() -> tuple[str, Any]:
     return "carry", carry.measure()
 
@@ -74,9 +78,9 @@
     """What a verb runs, the longest first."""
     found: list[Work] = []
     if verb in ("all", "fleet"):
-        sizes = sorted(doors, reverse=True)
+        fleets = sorted(doors, reverse=True)
         found += [
-            (fleet, (size, run, names)) for size in sizes for run in (1, 2) if run == 1 or size <= TWICE
+            (fleet, (size, run, names)) for size in fleets for run in (1, 2) if run == 1 or size <= TWICE
         ]
     if verb in ("all", "services"):
         found += [(services, (number,)) for number in reversed(SERVICES)]
@@ -86,6 +90,8 @@
         found += [(route, (number,)) for number in reversed(ROUTES)]
     if verb in ("all", "parts"):
         found += [(part, (number,)) for number in reversed(SERVERS)]
+    if verb == "sizes":
+        found += [(shape, (number,)) for number in sorted(doors, reverse=True)]
     return found
 
 
@@ -94,9 +100,9 @@
         prog="bench/scale.py", description="What each role costs as the fleet grows."
     )
     parser.add_argument(
-        "verb", choices=("all", "fleet", "services", "rounds", "words", "parts", "carry", "page")
+        "verb", choices=("all", "fleet", "services", "rounds", "words", "parts", "carry", "page", "sizes")
     )
-    parser.add_argument("--doors", type=int, nargs="+", default=list(DOORS), help="sizes of the fleet")
+    parser.add_argument("--doors", type=int, nargs="+", help="sizes of the fleet")
     parser.add_argument(
         "--phases",
         nargs="+",
@@ -108,7 +114,8 @@
     chosen = parser.parse_args(arguments)
     FOLDER.mkdir(exist_ok=True)
     source = {"command": f"bench/scale.py {chosen.verb}", "revision": revision()}
-    todo, began = works(chosen.verb, chosen.doors, tuple(chosen.phases)), time.monotonic()
+    doors = chosen.doors or (sizes.SHAPES if chosen.verb == "sizes" else DOORS)
+    todo, began = works(chosen.verb, list(doors), tuple(chosen.phases)), time.monotonic()
     if todo:
         context = multiprocessing.get_context("spawn")
         with ProcessPoolExecutor(chosen.jobs, context, max_tasks_per_child=1) as pool:
@@ -116,6 +123,8 @@
                 name, found = future.result()
                 keep(name, source, found)
                 print(f"{time.monotonic() - began:6.0f} s  {name}", flush=True)
+    if chosen.verb == "sizes":
+        print(sizes.page([load(f"sizes-{number}")["figures"] for number in doors]))
     if chosen.verb in ("all", "carry"):  # alone, as others would take its time
         name, found = carried()
         keep(name, source, found)
--- a/bench/scale/phases.py
+++ b/bench/scale/phases.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from bench.scale.program import TICK, Hollow, homes
-from bench.scale.world import CORE, Kind, Meter, World, weigh
+from bench.scale.world import CORE, REGIONS, ZONES, Kind, Meter, World, weigh
 
 STEP = 0.01  # seconds between two looks at whether something has come true
 PATIENCE = 10.0  # seconds after which it counts as not come true
@@ -42,8 +42,11 @@
 class Play:
     """One world brought through phases; `phases` grows."""
 
-    def __init__(self, doors: int, services: int = 20, servers: int = 180, core: int = CORE) -> None:
-        self.world = World(doors, services, servers, core)
+    def __init__(
+        self, doors: int, services: int = 20, servers: int = 180, core: int = CORE, zones: int = ZONES,
+        regions: int = REGIONS,
+    ) -> None:  # fmt: skip
+        self.world = World(doors, services, servers, core, zones=zones, regions=regions)
         self.phases: list[Phase] = []
         self.token = 0
         self.plain = [door for door in self.world.doors.values() if not door.disk]
@@ -315,12 +318,13 @@
 
 
 def play(
-    doors: int, services: int = 20, servers: int = 180, names: tuple[str, ...] = PHASES
-) -> dict[str, Any]:
+    doors: int, services: int = 20, servers: int = 180, names: tuple[str, ...] = PHASES, core: int = CORE,
+    zones: int = ZONES, regions: int = REGIONS,
+) -> dict[str, Any]:  # fmt: skip
     """The figures of one size, as they are kept."""
     began = time.process_time()
     gc.disable()  # or one door's call pays for looking through the memory of all
-    here = Play(doors, services, servers)
+    here = Play(doors, services, servers, core, zones, regions)
     for name in names:
         getattr(here, name)()
     gc.enable()
--- a/bench/scale/world.py
+++ b/bench/scale/world.py
@@ -107,11 +107,12 @@
     """`doors` hollow doors, the first `core` of them with a disk, spread over zones and regions by turns."""
 
     def __init__(
-        self, doors: int, services: int = 20, servers: int = 180, core: int = CORE, seed: int = 1
-    ) -> None:
+        self, doors: int, services: int = 20, servers: int = 180, core: int = CORE, seed: int = 1,
+        zones: int = ZONES, regions: int = REGIONS,
+    ) -> None:  # fmt: skip
         self.random, self.now = random.Random(seed), 100.0
         self.events = sched.scheduler(lambda: self.now)
-        self.list: Listing = listing(services, servers, ZONES)
+        self.list: Listing = listing(services, servers, zones)
         self.cut: Callable[[Hollow, Hollow], bool] = lambda source, to: False
         self.sizes = Sizes()
         self.last: tuple[dict[str, Any], Size] | None = None  # the message that was sent last, and its size
@@ -122,8 +123,8 @@
         self.doors: dict[str, Hollow] = {}
         seeds = [self.address(n) for n in range(3)]
         for n in range(doors):
-            zone = n % ZONES
-            door = Hollow(self.address(n), f"zone-{zone}", f"region-{zone % REGIONS}", n < core, seeds)
+            zone = n % zones
+            door = Hollow(self.address(n), f"zone-{zone}", f"region-{zone % regions}", n < core, seeds)
             door.listing = lambda: self.list
             self.doors[door.ip] = door
         self.meters = {ip: Meter() for ip in self.doors}
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from bench.scale import model, page, rounds, words
+from bench.scale import model, page, rounds, sizes, words
 from bench.scale.figures import slope
 from bench.scale.phases import play
 from bench.scale.program import check_word, read_word
@@ -88,3 +88,12 @@
         page.put(path.read_text(), {"fleet": "| a |"}, path)
     marked = f"{page.MARK.format('fleet')}\nold\n{page.END}\nkept\n"
     assert page.put(marked, {"fleet": "| new |"}, path) == marked.replace("old", "| new |")
+
+
+def test_a_days_events_add_to_what_a_door_costs_at_rest(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setitem(sizes.SHAPES, 12, (4, 4, 2))
+    found = sizes.measure(12)
+    _, kilobytes, messages = ([float(part) for part in cell.split("; ")] for cell in sizes.row(found, "core"))
+    for rest, day, peak in (kilobytes, messages):
+        assert 0 < rest <= day < 1.1 * rest < peak
+    assert sizes.page([found]).count("\n") == 3  # a door and a core member, below the head
