Take an echo without a state only for the state that its beat named

Between two doors datagrams may be doubled and overtake each other, and large ones go by TCP. An echo leaves out the sender's state where that has the sum that the beat named. Where a late echo of an older state came between, the door took the older state for what was held when the later beat was answered: a voice for a version that is not the newest, by which a read, a confirmation or a keyed request could be let through. A beat now keeps the sum it named; an echo without a state counts only while that is still what is known. Ruled out: always telling the state (bytes between regions with each beat).

--- a/queenless/beats.py
+++ b/queenless/beats.py
@@ -31,7 +31,8 @@
         # beats are numbered from a number of this life's own on, so an answer to an earlier life is known by it, also
         # on a machine whose steady clock has begun anew
         self.count = hash_of(peers.me.life) * APART
-        self.sent: dict[int, float] = {}  # when the last beats were sent, by number
+        # of the last beats, by number: when each was sent, and the sum of what was known then of whom it went to
+        self.sent: dict[int, tuple[float, int]] = {}
         self.first_sent: dict[str, float] = {}  # to whom a beat went that has never answered
 
     def state(self, now: float) -> dict[str, Any]:
@@ -43,17 +44,18 @@
             told["q"] = self.control.silent(now)
         return told
 
-    def number(self, now: float) -> int:
-        """The number of a beat that goes out now."""
+    def number(self, now: float, known: int) -> int:
+        """The number of a beat that goes out now; `known`: the sum that it names."""
         self.count += 1
-        self.sent[self.count] = now
+        self.sent[self.count] = (now, known)
         if len(self.sent) > MOST_SENT:
             del self.sent[next(iter(self.sent))]
         return self.count
 
     def asked_at(self, number: int) -> float | None:
         """When the beat of a number was sent; None where it was not this life that sent it, or long ago."""
-        return self.sent.get(number)
+        sent = self.sent.get(number)
+        return sent[0] if sent is not None else None
 
     @staticmethod
     def sum_of(state: dict[str, Any]) -> int:
@@ -81,14 +83,15 @@
             peer.sent_at = now
         else:
             self.first_sent[ip] = now
+        known = peer.state_sum if peer is not None else 0
         message: Message = {
             "k": "beat",
             "l": me.life,
-            "t": self.number(now),
+            "t": self.number(now, known),
             "r": ready,
             "c": self.peers.core_sum(),
         }
-        message["x"] = peer.state_sum if peer is not None else 0
+        message["x"] = known
         if peer is None or not peer.knows_me:
             message["a"] = me.row()
         if self.control.seated() or (not self.peers.seated and me.disk):
@@ -152,6 +155,8 @@
         peer.knows_me = "y" not in message
         if not peer.knows_me or asked_at < peer.asked_at:
             return peer  # it told nothing of itself, or what an answer that has come before it has overtaken
+        if "z" not in message and self.sent[message["t"]][1] != peer.state_sum:
+            return peer  # nothing new to what was known then; since then another answer has told what is not that
         peer.asked_at = asked_at
         peer.counts_on = message.get("p")
         if (state := message.get("z")) is not None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -5,7 +5,7 @@
 import pytest
 
 import comb.state
-from queenless.deeds import Message
+from queenless.deeds import Message, Send
 
 from .world import Call, World
 
@@ -376,7 +376,8 @@
     assert not door.heard and core.dropped["grant"] and core.dropped["echo"]
     asked = {ip: peer.asked_at for ip, peer in core.peers.peers.items()}
     # the fence bites: were numbers of beats not each life's own, the old answers would count
-    monkeypatch.setattr(core.beats, "sent", dict.fromkeys(old.beats.sent, world.now))
+    renumbered = {number: (world.now, known) for number, (_, known) in old.beats.sent.items()}
+    monkeypatch.setattr(core.beats, "sent", renumbered)
     for source, message in held:
         if message["k"] == "echo":
             world.deeds("d6", core.heard(world.now, source, message))
@@ -541,3 +542,36 @@
     world.run(0.1)
     (asked,) = [to for source, to, kind in told if source == "d6" and kind == "ask"]
     assert (asked, "d6", "news") in told
+
+
+def test_an_echo_that_names_no_state_says_nothing_of_a_state_that_was_told_since() -> None:
+    """An echo leaves out what its beat named as known.  Between the two a late echo tells of an older state: the door is
+    not to take that for what is held there now, or a read would show what an order acknowledged before it replaced."""
+    world = settled_world(3, 1)
+    reader, member = world.doors["d4"].core, world.doors["d1"].core
+    assert reader is not None and member is not None
+    alone(world, "d4")
+    world.run(0.5)
+
+    def beat() -> Message:
+        reader.deeds = []
+        reader.beat(world.now, "d1")
+        (sent,) = [deed.message for deed in reader.deeds if isinstance(deed, Send)]
+        return sent
+
+    def echo(message: Message) -> Message:
+        (sent,) = [deed.message for deed in member.heard(world.now, "d4", message) if isinstance(deed, Send)]
+        return sent
+
+    first, second = beat(), beat()
+    late = echo(second)  # overtakes the first
+    token = world.put("d2", 6)
+    world.run(1.0)
+    assert world.calls[token].good
+    reader.heard(world.now, "d1", echo(first))
+    third = beat()
+    reader.heard(world.now, "d1", late)
+    before = reader.peers.peers["d1"].clean_at
+    world.run(0.5)
+    reader.heard(world.now, "d1", echo(third))
+    assert reader.peers.peers["d1"].clean_at == before < reader.beats.sent[third["t"]][0]
