Refuse a number that is taken only after a question asked since the order came

A door behind learnt, after an order came, of a version in which another body has the order's number, and refused it at once, as that lasts. But by then a higher number may be in force, below which another door has acknowledged the same order: one that was acknowledged, sent again with no change since, was refused (409). A conflict now wants what a read wants; same bytes and higher numbers are confirmed at once as before. The new test fails before.

--- a/queenless/orders.py
+++ b/queenless/orders.py
@@ -170,8 +170,9 @@
             return Done(order.token, True, state=state) if self.register.pending is None else None
         if order.apply(state) is not state:
             return None
-        # that a number is taken, or a higher one, stays true whoever tells it; all else may have changed since
-        lasting = order.kind == "put" and state.version > order.version
+        # that these bytes are in force, or a higher number, stays true whoever tells it; all else may have changed, and
+        # an order whose number another body has may have been acknowledged below a higher one since
+        lasting = order.kind == "put" and state.version > order.version and not order.conflicts(state)
         if not lasting and not sure(order):
             return None  # what stands here may be old
         if order.conflicts(state):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -545,8 +545,8 @@
 
 
 def test_an_echo_that_names_no_state_says_nothing_of_a_state_that_was_told_since() -> None:
-    """An echo leaves out what its beat named as known.  Between the two a late echo tells of an older state: the door is
-    not to take that for what is held there now, or a read would show what an order acknowledged before it replaced."""
+    """An echo leaves out what its beat named as known.  Between the two a late echo tells of an older state: the door
+    is not to take that for what is held there now, or a read would show what an acknowledged order has replaced."""
     world = settled_world(3, 1)
     reader, member = world.doors["d4"].core, world.doors["d1"].core
     assert reader is not None and member is not None
@@ -575,3 +575,37 @@
     world.run(0.5)
     reader.heard(world.now, "d1", echo(third))
     assert reader.peers.peers["d1"].clean_at == before < reader.beats.sent[third["t"]][0]
+
+
+def test_a_body_that_was_acknowledged_below_a_higher_number_is_not_refused_by_a_door_behind() -> None:
+    """d4 lags by two versions.  It learns of the first of them, in which another body has the order's number, only
+    after the order came: that does not say that the order is refused now, when others have acknowledged it since."""
+    world = settled_world(3, 1)
+    alone(world, "d4")
+    kept: list[Message] = []
+    send = world.send
+
+    def noted(source: str, to: str, message: Message) -> None:
+        if message["k"] == "accept":
+            kept.append(message)
+        send(source, to, message)
+
+    world.send = noted  # type: ignore[method-assign]
+    world.put("d1", 6, "one")
+    world.run(0.5)
+    taken = kept[-1]
+    world.put("d1", 7)
+    world.run(0.5)
+    other = world.put("d2", 6, "other")
+    world.run(1.0)
+    assert world.calls[other].good
+    again = world.put("d4", 6, "other")
+    core = world.doors["d4"].core
+    assert core is not None
+    decided = {"k": "decided", "b": taken["b"], "s": taken["s"], "w": taken["w"]}
+    world.deeds("d4", core.heard(world.now, "d1", decided))
+    world.run(0.1)
+    assert core.control.register.version == max(world.decided) - 1 and world.calls[again].done is None
+    world.cut.clear()
+    world.run(1.0)
+    assert world.calls[again].good and not world.breaches
