--- /dev/null
+++ b/tests/chaos.py
@@ -0,0 +1,645 @@
+"""Drawn days of the control side on simulated time: troubles of every kind, and what must hold then and after.
+
+A day is drawn from its number alone, so it is played again exactly; `shrink` finds the fewest of its deeds that fail.
+A *tame* day keeps within the tolerated losses; a wild one does not, but never loses more disks than a majority bears.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import zlib
+from bisect import bisect
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from comb.state import NO_WORD, State
+from comb.word import digest
+from queenless.core import SHARDS, Core, Start
+from queenless.deeds import Message
+from queenless.orders import Done
+from swarm.peers import About
+
+from .world import SYNC, Call, Disk, Door, World
+
+CATCH_UP = 4.5  # seconds that a machine still counts as lost after it is back
+SETTLE = (
+    12.0  # seconds after the last trouble until all must be well again: a retired disk waits five of them
+)
+KINDS = {
+    "put": 8,
+    "race": 4,
+    "again": 5,
+    "lower": 1,
+    "zone": 4,
+    "read": 5,
+    "storm": 1,
+    "burst": 3,
+    "kill": 4,
+    "power": 2,
+    "back": 8,
+    "cut": 4,
+    "alone": 4,
+    "lure": 2,
+    "mend": 5,
+    "slow": 2,
+    "stall": 2,
+    "full": 2,
+    "heal": 3,
+    "freeze": 4,
+    "thaw": 5,
+    "replace": 2,
+    "remove": 1,
+    "return": 2,
+    "wipe": 3,
+    "roll": 2,
+    "retire": 1,
+    "odd": 3,
+    "lag": 3,
+    "wait": 6,
+}
+PAUSES = (0.0, 0.001, 0.003, 0.02, 0.05, 0.2, 0.5, 1.0, 2.5)
+
+
+@dataclass(slots=True, frozen=True)
+class Act:
+    """One step of a day: what, to whom by lot numbers, and how long it is then let be."""
+
+    what: str
+    which: int
+    more: int
+    pause: float
+
+
+@dataclass(slots=True, frozen=True)
+class Day:
+    seed: int
+    core: int
+    others: int
+    bare: bool  # one of the seeds has no disk
+    tame: bool
+    early: bool  # the troubles begin with the founding
+    odd: float
+    drop: float
+    clocks: bool  # each life has a steady clock of its own, of its own speed
+    deeds: tuple[Act, ...]
+
+    def __str__(self) -> str:
+        head = f"seed {self.seed}: core {self.core}+{self.others}{' bare' * self.bare}{' early' * self.early}"
+        head += (
+            f"{' tame' if self.tame else ' wild'}{' clocks' * self.clocks} odd {self.odd} drop {self.drop}"
+        )
+        return "\n".join([head, *(f"  {d.what} {d.which} {d.more} {d.pause}" for d in self.deeds)])
+
+
+def draw(seed: int) -> Day:
+    lot = random.Random(seed)
+    kinds, weights = list(KINDS), list(KINDS.values())
+    some = lot.sample(kinds[8:], lot.randint(4, 14))  # a day has some kinds of trouble, so that these meet
+    weights = [
+        w if kind in some or n < 8 or kind == "wait" else 0 for n, (kind, w) in enumerate(KINDS.items())
+    ]
+    for kind, cure in (
+        ("kill", "back"),
+        ("power", "back"),
+        ("cut", "mend"),
+        ("freeze", "thaw"),
+        ("full", "heal"),
+    ):
+        if kind in some:
+            weights[kinds.index(cure)] = KINDS[cure]
+    deeds = tuple(
+        Act(lot.choices(kinds, weights)[0], lot.randrange(24), lot.randrange(24), lot.choice(PAUSES))
+        for _ in range(lot.randint(8, 45))
+    )
+    core = lot.choice((3, 3, 3, 4, 4, 5, 5, 6, 7, 8))
+    odd, drop = lot.choice((0.0, 0.0, 0.05, 0.2)), lot.choice((0.0, 0.0, 0.05))
+    flags = [lot.random() < part for part in (0.15, 0.5, 0.25, 0.5)]
+    bare, tame, early, clocks = flags
+    return Day(seed, core, lot.choice((1, 1, 2)), bare and core > 3, tame, early, odd, drop, clocks, deeds)
+
+
+class Clocked:
+    """A core whose clock stands elsewhere, and goes a little faster or slower."""
+
+    def __init__(self, core: Core, began: float, local: float, rate: float) -> None:
+        self.core, self.began, self.at, self.rate = core, began, local, rate
+
+    def local(self, now: float) -> float:
+        return self.at + (now - self.began) * self.rate
+
+    def fresh_at(self, now: float) -> float:
+        return self.began + (self.core.fresh_at(self.local(now)) - self.at) / self.rate
+
+    def __getattr__(self, name: str) -> Any:
+        found = getattr(self.core, name)
+        if name in (
+            "tick",
+            "heard",
+            "saved",
+            "put",
+            "evacuate",
+            "retire",
+            "read",
+            "lease",
+            "listed",
+            "drain",
+        ):
+            return lambda now, *rest: found(self.local(now), *rest)
+        return found
+
+
+class Chaos(World):
+    def __init__(self, day: Day) -> None:
+        self.day, self.lags, self.late = day, dict[tuple[str, str], float](), 0.0
+        self.clock = random.Random(day.seed + 1)
+        self.acks: list[tuple[float, int]] = []  # when a newer version than before was told to a caller
+        self.bodies: dict[int, bytes] = {}  # digests of what was put, by token
+        self.acked: dict[tuple[int, bytes], float] = {}  # since when a body under its number is acknowledged
+        self.puts: list[tuple[int, str]] = []
+        self.gone: dict[str, Door] = {}  # machines that were taken away, with their disks
+        self.troubled: dict[str, float] = {}  # machines that are lost, or back for less than `CATCH_UP`
+        self.top, self.new = 5, 40
+        bare = frozenset({f"d{1 + day.seed % 3}"} if day.bare else ())
+        super().__init__(day.core, day.others, day.seed, day.drop, odd=day.odd, bare=bare)
+
+    # --- its own clocks and links -------------------------------------------------------------------------------
+
+    def make(self, start: Start) -> Core:
+        core = super().make(start)
+        if not self.day.clocks:
+            return core
+        local, rate = self.clock.choice((7.0, 100.0, 5e5)), self.clock.uniform(0.98, 1.02)
+        begun = Core(local, start, core.counter.length, core.limit)
+        return Clocked(begun, self.now, local, rate)  # type: ignore[return-value]
+
+    def delay(self, here: About, there: About) -> float:
+        most = self.lags.get((here.ip, there.ip), 0.0)
+        return super().delay(here, there) + most * self.random.random()
+
+    def send(self, source: str, to: str, message: Message) -> None:
+        super().send(source, to, message)
+        if self.late and self.random.random() < self.late:  # once more, much later
+
+            def again() -> None:
+                if source in self.doors:
+                    World.send(self, source, to, message)
+
+            self.at(self.now + 8 * self.random.random(), again)
+
+    def holds(self, name: str, duty: int) -> bool:
+        core: Any = self.doors[name].core
+        if core is None or self.doors[name].frozen is not None:
+            return False
+        now = core.local(self.now) if isinstance(core, Clocked) else self.now
+        return bool(core.duties.until(duty) > now)
+
+    # --- what must hold -------------------------------------------------------------------------------------------
+
+    def put(self, name: str, number: int, mark: str = "") -> int:
+        token = super().put(name, number, mark)
+        self.bodies[token] = digest(json.dumps({"versionNumber": f"r{number}", "mark": mark}).encode())
+        self.puts.append((number, mark))
+        return token
+
+    def breach(self, what: str) -> None:
+        if len(self.breaches) < 20:
+            self.breaches.append(f"{self.now:.3f} {what}")
+
+    def done(self, done: Done) -> None:
+        super().done(done)
+        call, state = self.calls[done.token], done.state
+        if state is None:
+            return
+        if not self.acks or state.version > self.acks[-1][1]:
+            self.acks.append((self.now, state.version))
+        if state.version > 0 and self.decided.setdefault(state.version, state) != state:
+            self.breach(f"{call.kind} was settled by {state}, not {self.decided[state.version]}")
+        if call.kind == "evacuate" and done.good and (call.zone in state.closed) is not call.closed:
+            self.breach(f"{call} was confirmed and is not so")
+        if call.kind == "read" and done.good:
+            shown = digest(zlib.decompress(done.word)) if done.word is not None else NO_WORD
+            if shown != state.digest:
+                self.breach(f"{call} showed another body")
+        if call.kind != "put":
+            return
+        key = (call.number, self.body(done.token, call))
+        if done.good and state.number == call.number and state.digest != key[1]:
+            self.breach(f"{call} was confirmed, and {state} has another body")
+        if done.good:
+            self.acked[key] = min(self.now, self.acked.get(key, self.now))
+        if done.conflict and self.acked.get(key, 1e9) < call.at:
+            self.breach(f"{call} was confirmed before at {self.acked[key]:.3f}, and is refused now")
+        if done.conflict and state.digest == key[1]:
+            self.breach(f"{call} was refused, and is in force")
+
+    def body(self, token: int, call: Call) -> bytes:
+        text = {"versionNumber": f"r{call.number}", "mark": call.digest.decode()}
+        return self.bodies.setdefault(token, digest(json.dumps(text).encode()))
+
+    def newest(self, before: float = 1e9) -> int:
+        at = bisect(self.acks, (before, -1))
+        return self.acks[at - 1][1] if at else -1
+
+    def watch(self, name: str, core: Core) -> None:
+        """Freshness is what it says: all that was told to a caller up to then is known; a duty has one holder."""
+        if core.control.register.version < self.newest(core.fresh_at(self.now)):
+            self.breach(f"{name} takes itself for fresh at {core.fresh_at(self.now):.3f} and is not")
+        self.seen_by(name, core)
+        for duty in range(SHARDS + 1):
+            if self.holds(name, duty):
+                holding = [d for d in self.up() if d != name and self.holds(d, duty)]
+                if holding:
+                    self.breach(f"duty {duty} is held by {[name, *holding]}")
+
+    def seen_by(self, name: str, core: Core) -> None:
+        state = core.control.register.state
+        if state is None or state.version == self.doors[name].seen:
+            return
+        self.saw(name, core)
+        old = self.decided.get(state.version - 1)
+        if old is not None and state.version > 1:
+            if state.before != old.members or len({m.ip for m in {*state.members} ^ {*old.members}}) > 1:
+                self.breach(f"{state} does not follow from {old}")
+            if state.number < old.number or (state.number == old.number and state.digest != old.digest):
+                self.breach(f"{state} goes back from {old}")
+
+    # --- whom trouble may befall --------------------------------------------------------------------------------
+
+    def last(self) -> State | None:
+        return self.decided[max(self.decided)] if self.decided else None
+
+    def losses(self) -> int:
+        state = self.last()
+        size = len(state.members) if state is not None else self.day.core - self.day.bare
+        return 0 if size < 3 else 1 if size < 5 else 2
+
+    def may(self, name: str) -> bool:
+        """Whether a machine may be lost for a while."""
+        if not self.day.tame or self.doors[name].disk is None:
+            return True
+        lost = {n for n, until in self.troubled.items() if until > self.now}
+        return name in lost or len(lost) < self.losses()
+
+    def may_lose(self, name: str) -> bool:
+        """Whether the disk of a machine may be lost: so many seats as are tolerated, of all that may be in force."""
+        state = self.last()
+        if state is None:
+            return False
+        states = [state]
+        for door in [*self.doors.values(), *self.gone.values()]:
+            if door.core is not None:
+                states += [pair[1] for pair in (door.core.control.register.accepted,) if pair is not None]
+        sets = {members for s in states if s.version >= state.version for members in s.sets()}
+        for members in sets:
+            bear = 0 if len(members) < 3 else 1 if len(members) < 5 else 2
+            lost = [m for m in members if m.ip == name or not self.holds_seat(m.ip, m.disk)]
+            if len(lost) > bear:
+                return False
+        return self.may(name)
+
+    def holds_seat(self, ip: str, disk: int) -> bool:
+        door = self.doors.get(ip)
+        if door is None or door.disk is None or "disk" not in door.disk.records:
+            return False
+        return door.about.disk == disk or self.on_disk(door.disk) == disk
+
+    @staticmethod
+    def on_disk(disk: Disk) -> int:
+        import cbor2
+
+        return int(cbor2.loads(disk.records["disk"])[0])
+
+    def lost(self, name: str) -> None:
+        self.troubled[name] = 1e9
+
+    def found(self, name: str) -> None:
+        if name in self.troubled:
+            self.troubled[name] = self.now + CATCH_UP
+
+    # --- a day ----------------------------------------------------------------------------------------------------
+
+    def seats(self) -> list[str]:
+        return sorted(name for name, door in self.doors.items() if door.disk is not None)
+
+    def do(self, deed: Act) -> None:
+        doing: Callable[[str, Act], None] | None = getattr(self, f"do_{deed.what}", None)
+        seats, all_ = self.seats(), sorted(self.doors)
+        names = all_ if deed.what in ("put", "race", "again", "lower", "zone", "read", "cut") else seats
+        if doing is not None and names:
+            doing(names[deed.which % len(names)], deed)
+        self.run(deed.pause)
+
+    def do_put(self, name: str, deed: Act) -> None:
+        self.top += 1 + deed.more % 3
+        self.put(name, self.top, "one")
+
+    def do_race(self, name: str, deed: Act) -> None:
+        self.do_put(name, deed)
+        self.put(sorted(self.doors)[(deed.more * 7 + 1) % len(self.doors)], self.top, "other")
+
+    def do_again(self, name: str, deed: Act) -> None:
+        if self.puts:
+            self.put(name, *self.puts[-1 - deed.more % min(len(self.puts), 12 if deed.more % 2 else 2)])
+
+    def do_lower(self, name: str, deed: Act) -> None:
+        self.put(name, max(1, self.top - 1 - deed.more % 4), "late")
+
+    def do_zone(self, name: str, deed: Act) -> None:
+        self.evacuate(name, f"z{deed.more % 2}", deed.more % 4 < 2)
+
+    def do_read(self, name: str, deed: Act) -> None:
+        self.read(name)
+
+    def do_storm(self, name: str, deed: Act) -> None:
+        names = sorted(self.doors)
+        for n in range(20 + 4 * deed.more):
+            self.do_put(names[(deed.which + n) % len(names)], deed)
+            self.evacuate(names[(deed.more + n) % len(names)], f"z{n % 2}", n % 4 < 2)
+            self.run(0.06)
+
+    def do_burst(self, name: str, deed: Act) -> None:
+        """Operators at every door at once, as the beats of each order may overtake each other."""
+        for n, door in enumerate(sorted(self.doors)):
+            self.do_read(door, deed) if (n + deed.more) % 3 else self.do_put(door, deed)
+            self.run(deed.pause / 20)
+
+    def do_kill(self, name: str, deed: Act) -> None:
+        if self.may(name):
+            self.lost(name)
+            self.kill(name)
+
+    def do_power(self, name: str, deed: Act) -> None:
+        """All at once, or half of them, and all but the last few are back soon."""
+        names = sorted(self.doors)[deed.which % 2 :: 1 + deed.more % 2]
+        if self.day.tame:
+            return
+        for door in names:
+            self.kill(door)
+        self.run(deed.pause)
+        for door in names[deed.more % 3 :]:
+            self.start(door)
+
+    def do_back(self, name: str, deed: Act) -> None:
+        down = [n for n in sorted(self.doors) if self.doors[n].core is None]
+        if not down:
+            return
+        name = down[deed.which % len(down)]
+        up = self.up()
+        if deed.more % 3 == 0 and len(up) > 1:
+            self.doors[name].seeds = [up[deed.more % len(up)], up[deed.which % len(up)], "d2"]
+        # with a state of its own at all, a founder may be told again that all starts for the first time
+        first = self.day.early and self.last() is None and bool(self.disk_of(name))
+        self.start(name, first=first, clock=250 * (deed.more % 2))
+        self.found(name)
+
+    def disk_of(self, name: str) -> dict[str, bytes]:
+        disk = self.doors[name].disk
+        return disk.records if disk is not None else {}
+
+    def do_cut(self, name: str, deed: Act) -> None:
+        other = sorted(self.doors)[deed.more % len(self.doors)]
+        if other == name or not (self.may(name) or self.may(other)):
+            return
+        self.lost(name if self.may(name) else other)
+        self.cut.add((name, other))
+        if deed.more % 2:
+            self.cut.add((other, name))
+
+    def do_alone(self, name: str, deed: Act) -> None:
+        if self.may(name):
+            self.lost(name)
+            for other in set(self.doors) - {name}:
+                self.cut |= [{(other, name)}, {(name, other)}, {(other, name), (name, other)}][deed.more % 3]
+
+    def do_lure(self, name: str, deed: Act) -> None:
+        """A few members and all doors without a disk are cut off together, and the operators are there."""
+        seats = self.seats()
+        some = [seats[(deed.which + n) % len(seats)] for n in range(max(1, len(seats) // 2 - deed.more % 2))]
+        if self.day.tame and not (some := [n for n in some[:1] if self.may(n)]):
+            return
+        side = {*some, *(n for n, door in self.doors.items() if door.disk is None)}
+        for one in side:
+            self.lost(one)
+            for other in set(self.doors) - side:
+                self.cut |= {(one, other), (other, one)}
+        for n, one in enumerate(sorted(side)):
+            self.do_race(one, deed) if (n + deed.more) % 2 else self.do_zone(one, deed)
+            self.read(one)
+
+    def do_mend(self, name: str, deed: Act) -> None:
+        touched = {n for pair in self.cut for n in pair}
+        self.cut.clear()
+        self.lags.clear()
+        for n in touched & set(self.doors):
+            if self.doors[n].core is not None and self.doors[n].frozen is None:
+                self.found(n)
+
+    def do_slow(self, name: str, deed: Act) -> None:
+        self.trouble_disk(name, 0.05 * (1 + deed.more), False)
+
+    def do_stall(self, name: str, deed: Act) -> None:
+        self.trouble_disk(name, 1.5 + deed.more % 6, False)
+
+    def do_full(self, name: str, deed: Act) -> None:
+        self.trouble_disk(name, SYNC, True)
+
+    def trouble_disk(self, name: str, sync: float, full: bool) -> None:
+        if self.may(name) and (disk := self.doors[name].disk) is not None:
+            self.lost(name)
+            disk.sync, disk.full = sync, full
+
+    def do_heal(self, name: str, deed: Act) -> None:
+        for n in self.seats():
+            disk = self.doors[n].disk
+            if disk is not None and (disk.full or disk.sync != SYNC):
+                disk.full, disk.sync = False, SYNC
+                self.found(n)
+
+    def do_freeze(self, name: str, deed: Act) -> None:
+        if self.doors[name].core is not None and self.may(name):
+            self.lost(name)
+            self.freeze(name)
+            if deed.more % 6 == 0:
+                self.run(4.0 * (deed.more % 4 + 1))
+
+    def do_thaw(self, name: str, deed: Act) -> None:
+        for n in sorted(self.doors):
+            if self.doors[n].frozen is not None:
+                self.thaw(n)
+                self.found(n)
+
+    def do_replace(self, name: str, deed: Act) -> None:
+        if self.may_lose(name):
+            self.do_remove(name, deed)
+            self.run(deed.pause)
+            up = self.up()
+            if up:
+                self.add(f"d{self.new}", deed.more % 4, seeds=[name, up[deed.more % len(up)], up[0]])
+                self.lost(f"d{self.new}")
+                self.found(f"d{self.new}")
+                self.new += 1
+
+    def do_remove(self, name: str, deed: Act) -> None:
+        if self.may_lose(name) and len(self.seats()) > 3:
+            self.gone[name] = self.doors[name]
+            self.remove(name)
+            self.lost(name)
+
+    def do_return(self, name: str, deed: Act) -> None:
+        """A machine that was taken away is back, with its disk."""
+        if self.gone:
+            name = sorted(self.gone)[deed.which % len(self.gone)]
+            if name not in self.doors:
+                self.doors[name] = self.gone.pop(name)
+                self.start(name)
+                self.found(name)
+
+    def do_wipe(self, name: str, deed: Act) -> None:
+        if self.may_lose(name):
+            self.lost(name)
+            self.wipe(name)
+            self.run(deed.pause)
+            if deed.more % 2:
+                self.start(name)
+                self.found(name)
+
+    def do_roll(self, name: str, deed: Act) -> None:
+        """Each in turn leaves in order and is back a little later."""
+        for one in self.seats()[deed.which % 3 :]:
+            core = self.doors[one].core
+            if core is None or self.doors[one].frozen is not None or not self.may(one):
+                continue
+            self.lost(one)
+            self.deeds(one, core.drain(self.now))
+            self.run(0.2 + deed.pause / 4)
+            self.kill(one)
+            self.run(0.1 + deed.pause / 4)
+            self.start(one)
+            self.found(one)
+            self.run(CATCH_UP if self.day.tame else deed.pause)
+
+    def do_retire(self, name: str, deed: Act) -> None:
+        """By hand: one that was taken away, or any."""
+        state = self.last()
+        if state is None:
+            return
+        away = [m.ip for m in state.members if m.ip not in self.doors]
+        if away or (not self.day.tame and state.size > 1):
+            ip = away[0] if away else state.members[deed.more % len(state.members)].ip
+            call = Call("retire", self.now, name)
+            self.call(call, lambda core, token: core.retire(self.now, token, ip))
+            for n in [n for n in self.troubled if n == ip]:
+                del self.troubled[n]
+
+    def do_odd(self, name: str, deed: Act) -> None:
+        self.odd, self.late = (0.0, 0.1, 0.4)[deed.which % 3], (0.0, 0.0, 0.1)[deed.more % 3]
+
+    def do_lag(self, name: str, deed: Act) -> None:
+        """What one door tells another comes late and out of order."""
+        other = sorted(self.doors)[deed.more % len(self.doors)]
+        if self.may(name):
+            self.lost(name)
+            self.lags[name, other] = (0.05, 0.3, 1.2)[deed.which % 3]
+            self.cut.add((name, name))  # so that `mend` finds it
+
+    # --- the end --------------------------------------------------------------------------------------------------
+
+    def calm(self) -> None:
+        """All troubles end, and all that are still there come back."""
+        self.cut.clear()
+        self.lags.clear()
+        self.odd = self.drop = self.late = 0.0
+        for name in sorted(self.doors):
+            if (disk := self.doors[name].disk) is not None:
+                disk.full, disk.sync = False, SYNC
+            if self.doors[name].core is None:
+                self.start(name)
+            elif self.doors[name].frozen is not None:
+                self.thaw(name)
+
+    def well(self) -> None:
+        """An order is taken at every door; all hold the newest state; the core has its size, of the living."""
+        tokens = []
+        for name in sorted(self.doors):
+            self.top += 1
+            tokens.append(self.put(name, self.top, "end"))
+            self.run(0.1)
+        self.run(3.2)
+        for token in tokens:
+            if not self.calls[token].good:
+                self.breach(f"after all was well: {self.calls[token]}")
+        state = self.last()
+        assert state is not None
+        for name, door in self.doors.items():
+            assert door.core is not None
+            if (found := door.core.control.register.version) != state.version:
+                self.breach(f"{name} knows {found} of {state.version}")
+            if not self.day.tame and state.size < 3:
+                continue
+        dead = [m.ip for m in state.members if m.ip not in self.doors or not self.holds_seat(m.ip, m.disk)]
+        if (dead and len(state.members) > state.size) or len(state.members) < state.size:
+            self.breach(f"the core is {[m.ip for m in state.members]} of {state.size}, {dead} are gone")
+        for duty in range(SHARDS + 1):
+            if not any(self.holds(name, duty) for name in self.up()):
+                self.breach(f"duty {duty} is held by none")
+
+    def close(self) -> None:
+        """Right after a change so many disks are lost as is tolerated, and all else loses power; then it is read."""
+        seats = self.seats()
+        self.top += 1
+        self.put(seats[0], self.top, "last")
+        self.run(0.04 + 0.01 * (self.day.seed % 10))
+        for n in range(len(seats)):
+            if self.may_lose(seats[(self.day.seed + n) % len(seats)]):
+                self.wipe(seats[(self.day.seed + n) % len(seats)])
+        for name in sorted(self.doors):
+            self.kill(name)
+        for name in sorted(self.doors):
+            self.start(name)
+        self.run(4.0)
+        for _ in range(2):
+            call = self.calls[self.read(seats[self.day.seed % len(seats)])]
+            self.run(3.5)
+            if call.good:
+                return
+        self.breach(f"nothing could be read: {call}")
+
+
+def play(day: Day) -> Chaos:
+    """A day to its end, or to its first fault."""
+    world = Chaos(day)
+    if not day.early:
+        world.run(3.5)
+        world.put("d1", world.top)
+        world.run(1.0)
+    for deed in day.deeds:
+        world.do(deed)
+        if world.breaches:
+            return world
+    world.calm()
+    world.run(SETTLE)
+    for ending in (world.well, world.close):
+        if not world.breaches:
+            ending()
+    return world
+
+
+def shrink(day: Day, fails: Callable[[Day], bool]) -> Day:
+    """The fewest deeds that still fail: halves, quarters and single ones are left out in turn."""
+    size = max(1, len(day.deeds) // 2)
+    while True:
+        at = 0
+        while at < len(day.deeds):
+            less = replace(day, deeds=day.deeds[:at] + day.deeds[at + size :])
+            if fails(less):
+                day = less
+            else:
+                at += size
+        if size == 1:
+            return day
+        size = max(1, size // 2)
+
+
+__all__ = ["Act", "Chaos", "Day", "draw", "play", "shrink"]
--- a/tests/world.py
+++ b/tests/world.py
@@ -67,6 +67,8 @@
     door: str
     number: int = -1
     digest: bytes = b""
+    zone: str = ""
+    closed: bool = False
     ended: float = 1e9
     done: Done | None = None
 
@@ -81,9 +83,17 @@
 
 class World:
     def __init__(
-        self, core: int, others: int, seed: int = 1, drop: float = 0.0, zones: int = 4, odd: float = 0.0
+        self,
+        core: int,
+        others: int,
+        seed: int = 1,
+        drop: float = 0.0,
+        zones: int = 4,
+        odd: float = 0.0,
+        bare: frozenset[str] = frozenset(),
     ) -> None:
-        """`odd`: the part of the messages that come late, and of those that come twice."""
+        """`odd`: the part of the messages that come late, and of those that come twice; `bare`: of the core, doors that
+        have no disk."""
         self.random, self.drop, self.odd, self.now = random.Random(seed), drop, odd, 100.0
         self.heap: list[tuple[float, int, Callable[[], None]]] = []
         self.order = itertools.count()
@@ -98,8 +108,9 @@
         self.breaches: list[str] = []
         for n in range(core + others):
             zone = n % zones
-            about = About(f"d{n + 1}", f"z{zone}", "east" if zone % 2 else "west", int(n < core), 0)
-            self.doors[about.ip] = Door(about, Disk() if n < core else None)
+            disk = n < core and f"d{n + 1}" not in bare
+            about = About(f"d{n + 1}", f"z{zone}", "east" if zone % 2 else "west", int(disk), 0)
+            self.doors[about.ip] = Door(about, Disk() if disk else None)
         for name in self.doors:
             self.start(name, first=True)
 
@@ -126,11 +137,13 @@
         if door.disk is None:
             door.about = About(name, door.about.zone, door.about.region, 0, life)
         start = Start(door.about, door.seeds, first, dict(door.disk.records) if door.disk is not None else {})
-        rule = QuotaRule()
-        door.core = core = Core(self.now, start, rule.window, lambda tenant: 30.0)
+        door.core = core = self.make(start)
         core.ready, door.seen, door.frozen = True, core.control.register.version, None
         self.tick(name, core)
 
+    def make(self, start: Start) -> Core:
+        return Core(self.now, start, QuotaRule().window, lambda tenant: 30.0)
+
     def disk_number(self) -> int:
         return next(self.tokens) + 1_000_000  # as a disk's number is drawn: no two are alike
 
@@ -216,8 +229,7 @@
         if to not in self.doors or self.random.random() < self.drop:
             return
         here, there = self.doors[source].about, self.doors[to].about
-        delay = 0.02 if here.region != there.region else 0.001
-        delay *= 1 + self.random.random() * 0.2
+        delay = self.delay(here, there) * (1 + self.random.random() * 0.2)
 
         def arrive() -> None:
             core = self.doors[to].core if to in self.doors else None
@@ -230,6 +242,10 @@
         if self.odd and self.random.random() < self.odd:
             self.at(self.now + delay + self.random.random() * LATE, arrive)
 
+    def delay(self, here: About, there: About) -> float:
+        """Seconds that a message takes at least."""
+        return 0.02 if here.region != there.region else 0.001
+
     def save(self, name: str, core: Core, save: Save) -> None:
         disk = self.doors[name].disk
         assert disk is not None
@@ -261,7 +277,7 @@
         return self.call(call, lambda core, token: core.put(self.now, token, body))
 
     def evacuate(self, name: str, zone: str, closed: bool) -> int:
-        call = Call("evacuate", self.now, name)
+        call = Call("evacuate", self.now, name, zone=zone, closed=closed)
         return self.call(call, lambda core, token: core.evacuate(self.now, token, zone, closed))
 
     def read(self, name: str) -> int:
