Count no promise of a duty over two changes of members that follow at once

The core of five is {1..5}, 3 holds a duty by 3, 4 and 5 and is cut off; two operators' orders take out 4 and 5 within the 1.8 s for which 3 relies on them. 1 and 2, which had promised the duty to 1 before, are a majority of the three left: two doors held it for up to 1.7 s (LIST, or a tenant's counter). Majorities before and after one change of members meet, those of two changes need not. After a second change within 0.9 of a term a candidate now counts only promises asked for once nobody can rely on one of the first core. The new test fails before. Ruled out: a term of silence after each change.

--- a/queenless/core.py
+++ b/queenless/core.py
@@ -61,6 +61,7 @@
         self.polled_at, self.polling = -1e9, False
         self.asked: dict[str, tuple[float, int]] = {}  # what was asked for, when, and how often
         self.was_seated = self.control.seated()
+        self.members = self.control.state.members if self.control.state is not None else ()
         self.dropped: dict[str, int] = {}  # messages of or to another life, by kind
         self.deeds: list[Deed] = []
 
@@ -135,7 +136,11 @@
 
     def look(self, now: float) -> None:
         """See whether this door's seat has changed: one that is new promises nothing for a term."""
-        seated = self.control.seated()
+        seated, state = self.control.seated(), self.control.state
+        if state is not None and state.members != self.members:
+            if self.members:
+                self.duties.moved(now, follows=state.before == self.members)
+            self.members = state.members
         if seated and not self.was_seated and not self.first:
             self.duties.granter.silent_until = max(self.duties.granter.silent_until, now + TERM)
         self.was_seated = seated
@@ -264,6 +269,7 @@
         if "z" in message:  # it told of news; what is not answered in time is asked for again with a tick
             self.mend(now)
         self.deeds += self.control.proceed(now)
+        self.look(now)
         return self.deeds
 
     def drop(self, kind: str) -> None:
--- a/swarm/duties.py
+++ b/swarm/duties.py
@@ -101,6 +101,8 @@
         self.peers, self.count = peers, count
         self.granter = Granter(now, first)
         self.holds: dict[int, Hold] = {}
+        self.not_before = -1e9  # what was asked before this counts for nothing: see `moved`
+        self.moved_at = now
         self.asking: list[int] = []  # what the last beat asked for
         self.left = False
 
@@ -165,7 +167,7 @@
         for duty in wants:
             hold = self.holds.setdefault(duty, Hold())
             if hold.since is None:
-                hold.since = now
+                hold.since = max(now, self.not_before)
         self.asking = wants
         return wants
 
@@ -181,6 +183,18 @@
         if hold is not None and hold.since is not None and asked_at >= hold.since:
             hold.yes[ip] = (asked_at, life)
 
+    def moved(self, now: float, follows: bool) -> None:
+        """The core has other members; `follows`: by one change from those that were known here.  Majorities before and
+        after one change meet, but not those of two: after a second one within the time that a holder relies on a
+        promise, another may still hold a duty by members of the first, so what was asked until then does not count."""
+        relied = TERM * SHORT
+        if not follows or now - self.moved_at < relied:
+            self.not_before = (self.moved_at if follows else now) + relied
+            for hold in self.holds.values():
+                hold.yes.clear()
+                hold.since = None if hold.since is None else max(hold.since, self.not_before)
+        self.moved_at = now
+
     def counts_on(self, now: float, who: Who) -> list[int]:
         return [duty for duty, hold in self.holds.items() if hold.counts_on(now, who)]
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -5,6 +5,7 @@
 import pytest
 
 import comb.state
+from queenless.core import LIST
 from queenless.deeds import Message, Send
 
 from .world import Call, World
@@ -609,3 +610,27 @@
     world.cut.clear()
     world.run(1.0)
     assert world.calls[again].good and not world.breaches
+
+
+def test_no_duty_has_two_holders_after_two_changes_of_members_at_once() -> None:
+    """The holder still counts on members that are taken out one right after the other: majorities of the core before
+    the first change and after the second need not meet."""
+    for seed in range(4):
+        world = settled_world(5, 1, seed=seed)
+        holder = next(name for name in world.up() if world.holds(name, LIST))
+        others = [name for name in sorted(world.doors) if name not in (holder, "d6")]
+        for name in others[:2]:
+            world.cut |= {(holder, name), (name, holder)}
+        world.run(4.0)
+        assert world.holds(holder, LIST)
+        alone(world, holder)
+        for leaver in others[2:]:
+            token = world.call(
+                Call("retire", world.now, others[0]),
+                lambda core, token, ip=leaver: core.retire(world.now, token, ip),  # type: ignore[misc]
+            )
+            world.run(0.2)
+            assert world.calls[token].good
+        assert not world.breaches
+        world.run(4.0)
+        assert not world.breaches and any(world.holds(name, LIST) for name in others[:2])
