Promise oneself no duty while a change of members is half agreed

A member that has accepted other members promises them to nobody who names the old ones, but went on to promise itself. Where it hears of no decision, and one that was taken out still grants it, it held the duty on beside the new core's holder, without end. The new test fails before.

--- a/queenless/core.py
+++ b/queenless/core.py
@@ -178,7 +178,8 @@
             return
         if self.settled():
             self.duties.recall(now)
-            self.duties.renew(now)
+            if self.beats.may_grant(self.peers.core_sum()):  # to itself, as to others
+                self.duties.renew(now)
         young = now - self.began <= BARE and self.duties.until(LIST) <= now
         if self.may_list(now) and not young and not self.polling and now - self.polled_at >= POLL:
             self.polling, self.polled_at = True, now
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -634,3 +634,27 @@
         assert not world.breaches
         world.run(4.0)
         assert not world.breaches and any(world.holds(name, LIST) for name in others[:2])
+
+
+def test_a_member_that_accepted_other_members_promises_itself_no_duty_either() -> None:
+    """The holder accepts two changes of members, and hears of no decision; one that was taken out still grants it."""
+    world = settled_world(3, 1)
+    holder = next(name for name in world.up() if world.holds(name, LIST))
+    by, out = sorted({"d1", "d2", "d3"} - {holder})
+    send = world.send
+
+    def lost(source: str, to: str, message: Message) -> None:
+        if (source, to) != (by, holder) or message["k"] in ("prepare", "accept"):
+            send(source, to, message)
+
+    world.send = lost  # type: ignore[method-assign]
+    world.cut |= {(by, out), (out, by)}
+    for leaver in (out, holder):
+        token = world.call(
+            Call("retire", world.now, by),
+            lambda core, token, ip=leaver: core.retire(world.now, token, ip),  # type: ignore[misc]
+        )
+        world.run(0.3)
+        assert world.calls[token].good
+    world.run(3.0)
+    assert not world.breaches and world.holds(by, LIST)
