--- a/tests/chaos.py
+++ b/tests/chaos.py
@@ -528,8 +528,7 @@
         away = [m.ip for m in state.members if m.ip not in self.doors]
         if away or (not self.day.tame and state.size > 1):
             ip = away[0] if away else state.members[deed.more % len(state.members)].ip
-            call = Call("retire", self.now, name)
-            self.call(call, lambda core, token: core.retire(self.now, token, ip))
+            self.retire(name, ip)
             for n in [n for n in self.troubled if n == ip]:
                 del self.troubled[n]
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -8,7 +8,7 @@
 from queenless.core import LIST
 from queenless.deeds import Message, Send
 
-from .world import Call, World
+from .world import World
 
 
 def settled_world(core: int = 4, others: int = 3, seed: int = 1, odd: float = 0.0) -> World:
@@ -388,9 +388,7 @@
 def test_an_operator_takes_a_member_out_that_has_no_successor() -> None:
     world = settled_world()
     world.remove("d4")
-    token = world.call(
-        Call("retire", world.now, "d6"), lambda core, token: core.retire(world.now, token, "d4")
-    )
+    token = world.retire("d6", "d4")
     world.run(1.0)
     state = world.decided[max(world.decided)]
     assert world.calls[token].good and len(state.members) == state.size == 3
@@ -625,10 +623,7 @@
         assert world.holds(holder, LIST)
         alone(world, holder)
         for leaver in others[2:]:
-            token = world.call(
-                Call("retire", world.now, others[0]),
-                lambda core, token, ip=leaver: core.retire(world.now, token, ip),  # type: ignore[misc]
-            )
+            token = world.retire(others[0], leaver)
             world.run(0.2)
             assert world.calls[token].good
         assert not world.breaches
@@ -650,10 +645,7 @@
     world.send = lost  # type: ignore[method-assign]
     world.cut |= {(by, out), (out, by)}
     for leaver in (out, holder):
-        token = world.call(
-            Call("retire", world.now, by),
-            lambda core, token, ip=leaver: core.retire(world.now, token, ip),  # type: ignore[misc]
-        )
+        token = world.retire(by, leaver)
         world.run(0.3)
         assert world.calls[token].good
     world.run(3.0)
--- a/tests/world.py
+++ b/tests/world.py
@@ -284,6 +284,11 @@
         call = Call("read", self.now, name)
         return self.call(call, lambda core, token: core.read(self.now, token))
 
+    def retire(self, name: str, member: str) -> int:
+        """An operator's order at one door that takes a member out of the core."""
+        call = Call("retire", self.now, name)
+        return self.call(call, lambda core, token: core.retire(self.now, token, member))
+
     def done(self, done: Done) -> None:
         """A call has ended; those that came after it must be settled by no older state."""
         call = self.calls[done.token]
