Count no late promise of a life whose successor was told that it isn't counted on

A new life of a core door is silent until all others have told what they count on. A promise of the old life that came after that word, to a door that had not yet heard the new life, still counted: the new life was free to promise the same duty to another, and two held it for up to 1.7 s. The new test fails before.

--- a/swarm/duties.py
+++ b/swarm/duties.py
@@ -103,6 +103,9 @@
         self.holds: dict[int, Hold] = {}
         self.not_before = -1e9  # what was asked before this counts for nothing: see `moved`
         self.moved_at = now
+        self.disowned: dict[
+            str, tuple[float, int]
+        ] = {}  # when a new life was told what is counted on, and which life
         self.asking: list[int] = []  # what the last beat asked for
         self.left = False
 
@@ -178,8 +181,12 @@
                 self.granted(duty, self.peers.me.ip, now, self.peers.me.life)
 
     def granted(self, duty: int, ip: str, asked_at: float, life: int) -> None:
-        """A core door's yes to a beat; one from before this door last began to ask counts for nothing."""
+        """A core door's yes to a beat; one from before this door last began to ask counts for nothing, nor does that of
+        an earlier life which comes after the new one was told that it isn't counted on."""
         hold = self.holds.get(duty)
+        told_at, told = self.disowned.get(ip, (-1e9, life))
+        if life != told and asked_at <= told_at:
+            return
         if hold is not None and hold.since is not None and asked_at >= hold.since:
             hold.yes[ip] = (asked_at, life)
 
@@ -196,6 +203,8 @@
         self.moved_at = now
 
     def counts_on(self, now: float, who: Who) -> list[int]:
+        """What a new life is told: the duties for which a promise of an earlier one counts here."""
+        self.disowned[who[0]] = (now, who[1])
         return [duty for duty, hold in self.holds.items() if hold.counts_on(now, who)]
 
     def recall(self, now: float) -> None:
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -64,3 +64,15 @@
     duties = core_of_three()
     assert duties.asks(10.0, settled=True)
     assert duties.asks(20.0, settled=True) == []  # the others were last heard ten seconds ago
+
+
+def test_a_late_promise_of_a_life_that_is_no_more_counted_on_counts_for_nothing() -> None:
+    """The new life was told that nothing is counted on, so it may promise the duty to another."""
+    duties = core_of_three()
+    duty = duties.asks(10.1, settled=True)[0]
+    duties.granted(duty, "d1", 10.1, 1)
+    assert duties.counts_on(10.5, ("d2", 2)) == []
+    duties.granted(duty, "d2", 10.4, 1)  # asked for and promised before that, late on its way
+    assert duties.until(duty) == 0.0
+    duties.granted(duty, "d2", 10.6, 2)
+    assert duties.until(duty) > 11.0
