--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -13,14 +13,15 @@
 import time
 import traceback
 
-from tests.chaos import draw, play, shrink
+from tests.chaos import play
+from tests.chaos_days import Day, draw, shrink
 
 
 def judge(seed: int) -> tuple[int, list[str]]:
     try:
         return seed, play(draw(seed)).breaches
     except Exception:  # a fault of the program, too
-        return seed, [traceback.format_exc()[-600:]]
+        return seed, [traceback.format_exc()[-280:]]
 
 
 def main() -> int:
@@ -50,7 +51,7 @@
     return 1 if failed else 0
 
 
-def judge_day(day) -> list[str]:  # type: ignore[no-untyped-def]
+def judge_day(day: Day) -> list[str]:
     return play(day).breaches
 
 
--- a/tests/chaos.py
+++ b/tests/chaos.py
@@ -1,270 +1,25 @@
-"""Drawn days of the control side on simulated time: troubles of every kind, and what must hold then and after.
+"""Troubles of every kind for the control side on simulated time, a drawn day of them, and what must hold once they end.
 
-A day is drawn from its number alone, so it is played again exactly; `shrink` finds the fewest of its deeds that fail.
 A *tame* day keeps within the tolerated losses; a wild one does not, but never loses more disks than a majority bears.
 """
 
 from __future__ import annotations
 
-import json
-import random
-import zlib
-from bisect import bisect
 from collections.abc import Callable
-from dataclasses import dataclass, replace
-from typing import Any
 
-from comb.state import NO_WORD, State
-from comb.word import digest
-from queenless.core import SHARDS, Core, Start
-from queenless.deeds import Message
-from queenless.orders import Done
-from swarm.peers import About
+import cbor2
 
-from .world import SYNC, Call, Disk, Door, World
+from comb.state import State
 
-CATCH_UP = 4.5  # seconds that a machine still counts as lost after it is back
-SETTLE = (
-    12.0  # seconds after the last trouble until all must be well again: a retired disk waits five of them
-)
-KINDS = {
-    "put": 8,
-    "race": 4,
-    "again": 5,
-    "lower": 1,
-    "zone": 4,
-    "read": 5,
-    "storm": 1,
-    "burst": 3,
-    "kill": 4,
-    "power": 2,
-    "back": 8,
-    "cut": 4,
-    "alone": 4,
-    "lure": 2,
-    "mend": 5,
-    "slow": 2,
-    "stall": 2,
-    "full": 2,
-    "heal": 3,
-    "freeze": 4,
-    "thaw": 5,
-    "replace": 2,
-    "remove": 1,
-    "return": 2,
-    "wipe": 3,
-    "roll": 2,
-    "retire": 1,
-    "odd": 3,
-    "lag": 3,
-    "wait": 6,
-}
-PAUSES = (0.0, 0.001, 0.003, 0.02, 0.05, 0.2, 0.5, 1.0, 2.5)
-
-
-@dataclass(slots=True, frozen=True)
-class Act:
-    """One step of a day: what, to whom by lot numbers, and how long it is then let be."""
-
-    what: str
-    which: int
-    more: int
-    pause: float
-
-
-@dataclass(slots=True, frozen=True)
-class Day:
-    seed: int
-    core: int
-    others: int
-    bare: bool  # one of the seeds has no disk
-    tame: bool
-    early: bool  # the troubles begin with the founding
-    odd: float
-    drop: float
-    clocks: bool  # each life has a steady clock of its own, of its own speed
-    deeds: tuple[Act, ...]
-
-    def __str__(self) -> str:
-        head = f"seed {self.seed}: core {self.core}+{self.others}{' bare' * self.bare}{' early' * self.early}"
-        head += (
-            f"{' tame' if self.tame else ' wild'}{' clocks' * self.clocks} odd {self.odd} drop {self.drop}"
-        )
-        return "\n".join([head, *(f"  {d.what} {d.which} {d.more} {d.pause}" for d in self.deeds)])
-
-
-def draw(seed: int) -> Day:
-    lot = random.Random(seed)
-    kinds, weights = list(KINDS), list(KINDS.values())
-    some = lot.sample(kinds[8:], lot.randint(4, 14))  # a day has some kinds of trouble, so that these meet
-    weights = [
-        w if kind in some or n < 8 or kind == "wait" else 0 for n, (kind, w) in enumerate(KINDS.items())
-    ]
-    for kind, cure in (
-        ("kill", "back"),
-        ("power", "back"),
-        ("cut", "mend"),
-        ("freeze", "thaw"),
-        ("full", "heal"),
-    ):
-        if kind in some:
-            weights[kinds.index(cure)] = KINDS[cure]
-    deeds = tuple(
-        Act(lot.choices(kinds, weights)[0], lot.randrange(24), lot.randrange(24), lot.choice(PAUSES))
-        for _ in range(lot.randint(8, 45))
-    )
-    core = lot.choice((3, 3, 3, 4, 4, 5, 5, 6, 7, 8))
-    odd, drop = lot.choice((0.0, 0.0, 0.05, 0.2)), lot.choice((0.0, 0.0, 0.05))
-    flags = [lot.random() < part for part in (0.15, 0.5, 0.25, 0.5)]
-    bare, tame, early, clocks = flags
-    return Day(seed, core, lot.choice((1, 1, 2)), bare and core > 3, tame, early, odd, drop, clocks, deeds)
-
-
-class Clocked:
-    """A core whose clock stands elsewhere, and goes a little faster or slower."""
-
-    def __init__(self, core: Core, began: float, local: float, rate: float) -> None:
-        self.core, self.began, self.at, self.rate = core, began, local, rate
-
-    def local(self, now: float) -> float:
-        return self.at + (now - self.began) * self.rate
-
-    def fresh_at(self, now: float) -> float:
-        return self.began + (self.core.fresh_at(self.local(now)) - self.at) / self.rate
-
-    def __getattr__(self, name: str) -> Any:
-        found = getattr(self.core, name)
-        if name in (
-            "tick",
-            "heard",
-            "saved",
-            "put",
-            "evacuate",
-            "retire",
-            "read",
-            "lease",
-            "listed",
-            "drain",
-        ):
-            return lambda now, *rest: found(self.local(now), *rest)
-        return found
-
-
-class Chaos(World):
-    def __init__(self, day: Day) -> None:
-        self.day, self.lags, self.late = day, dict[tuple[str, str], float](), 0.0
-        self.clock = random.Random(day.seed + 1)
-        self.acks: list[tuple[float, int]] = []  # when a newer version than before was told to a caller
-        self.bodies: dict[int, bytes] = {}  # digests of what was put, by token
-        self.acked: dict[tuple[int, bytes], float] = {}  # since when a body under its number is acknowledged
-        self.puts: list[tuple[int, str]] = []
-        self.gone: dict[str, Door] = {}  # machines that were taken away, with their disks
-        self.troubled: dict[str, float] = {}  # machines that are lost, or back for less than `CATCH_UP`
-        self.top, self.new = 5, 40
-        bare = frozenset({f"d{1 + day.seed % 3}"} if day.bare else ())
-        super().__init__(day.core, day.others, day.seed, day.drop, odd=day.odd, bare=bare)
-
-    # --- its own clocks and links -------------------------------------------------------------------------------
-
-    def make(self, start: Start) -> Core:
-        core = super().make(start)
-        if not self.day.clocks:
-            return core
-        local, rate = self.clock.choice((7.0, 100.0, 5e5)), self.clock.uniform(0.98, 1.02)
-        begun = Core(local, start, core.counter.length, core.limit)
-        return Clocked(begun, self.now, local, rate)  # type: ignore[return-value]
-
-    def delay(self, here: About, there: About) -> float:
-        most = self.lags.get((here.ip, there.ip), 0.0)
-        return super().delay(here, there) + most * self.random.random()
-
-    def send(self, source: str, to: str, message: Message) -> None:
-        super().send(source, to, message)
-        if self.late and self.random.random() < self.late:  # once more, much later
-
-            def again() -> None:
-                if source in self.doors:
-                    World.send(self, source, to, message)
-
-            self.at(self.now + 8 * self.random.random(), again)
-
-    def holds(self, name: str, duty: int) -> bool:
-        core: Any = self.doors[name].core
-        if core is None or self.doors[name].frozen is not None:
-            return False
-        now = core.local(self.now) if isinstance(core, Clocked) else self.now
-        return bool(core.duties.until(duty) > now)
-
-    # --- what must hold -------------------------------------------------------------------------------------------
-
-    def put(self, name: str, number: int, mark: str = "") -> int:
-        token = super().put(name, number, mark)
-        self.bodies[token] = digest(json.dumps({"versionNumber": f"r{number}", "mark": mark}).encode())
-        self.puts.append((number, mark))
-        return token
+from .chaos_days import Act, Day
+from .chaos_rules import DUTIES, Watched
+from .world import SYNC, Disk
 
-    def breach(self, what: str) -> None:
-        if len(self.breaches) < 20:
-            self.breaches.append(f"{self.now:.3f} {what}")
+CATCH_UP = 4.5  # seconds that a machine still counts as lost after it is back
+SETTLE = 12.0  # and until all must be well after the last trouble: a retired disk waits five of them
 
-    def done(self, done: Done) -> None:
-        super().done(done)
-        call, state = self.calls[done.token], done.state
-        if state is None:
-            return
-        if not self.acks or state.version > self.acks[-1][1]:
-            self.acks.append((self.now, state.version))
-        if state.version > 0 and self.decided.setdefault(state.version, state) != state:
-            self.breach(f"{call.kind} was settled by {state}, not {self.decided[state.version]}")
-        if call.kind == "evacuate" and done.good and (call.zone in state.closed) is not call.closed:
-            self.breach(f"{call} was confirmed and is not so")
-        if call.kind == "read" and done.good:
-            shown = digest(zlib.decompress(done.word)) if done.word is not None else NO_WORD
-            if shown != state.digest:
-                self.breach(f"{call} showed another body")
-        if call.kind != "put":
-            return
-        key = (call.number, self.body(done.token, call))
-        if done.good and state.number == call.number and state.digest != key[1]:
-            self.breach(f"{call} was confirmed, and {state} has another body")
-        if done.good:
-            self.acked[key] = min(self.now, self.acked.get(key, self.now))
-        if done.conflict and self.acked.get(key, 1e9) < call.at:
-            self.breach(f"{call} was confirmed before at {self.acked[key]:.3f}, and is refused now")
-        if done.conflict and state.digest == key[1]:
-            self.breach(f"{call} was refused, and is in force")
-
-    def body(self, token: int, call: Call) -> bytes:
-        text = {"versionNumber": f"r{call.number}", "mark": call.digest.decode()}
-        return self.bodies.setdefault(token, digest(json.dumps(text).encode()))
-
-    def newest(self, before: float = 1e9) -> int:
-        at = bisect(self.acks, (before, -1))
-        return self.acks[at - 1][1] if at else -1
-
-    def watch(self, name: str, core: Core) -> None:
-        """Freshness is what it says: all that was told to a caller up to then is known; a duty has one holder."""
-        if core.control.register.version < self.newest(core.fresh_at(self.now)):
-            self.breach(f"{name} takes itself for fresh at {core.fresh_at(self.now):.3f} and is not")
-        self.seen_by(name, core)
-        for duty in range(SHARDS + 1):
-            if self.holds(name, duty):
-                holding = [d for d in self.up() if d != name and self.holds(d, duty)]
-                if holding:
-                    self.breach(f"duty {duty} is held by {[name, *holding]}")
-
-    def seen_by(self, name: str, core: Core) -> None:
-        state = core.control.register.state
-        if state is None or state.version == self.doors[name].seen:
-            return
-        self.saw(name, core)
-        old = self.decided.get(state.version - 1)
-        if old is not None and state.version > 1:
-            if state.before != old.members or len({m.ip for m in {*state.members} ^ {*old.members}}) > 1:
-                self.breach(f"{state} does not follow from {old}")
-            if state.number < old.number or (state.number == old.number and state.digest != old.digest):
-                self.breach(f"{state} goes back from {old}")
 
+class Chaos(Watched):
     # --- whom trouble may befall --------------------------------------------------------------------------------
 
     def last(self) -> State | None:
@@ -307,8 +62,6 @@
 
     @staticmethod
     def on_disk(disk: Disk) -> int:
-        import cbor2
-
         return int(cbor2.loads(disk.records["disk"])[0])
 
     def lost(self, name: str) -> None:
@@ -580,7 +333,7 @@
         dead = [m.ip for m in state.members if m.ip not in self.doors or not self.holds_seat(m.ip, m.disk)]
         if (dead and len(state.members) > state.size) or len(state.members) < state.size:
             self.breach(f"the core is {[m.ip for m in state.members]} of {state.size}, {dead} are gone")
-        for duty in range(SHARDS + 1):
+        for duty in range(DUTIES):
             if not any(self.holds(name, duty) for name in self.up()):
                 self.breach(f"duty {duty} is held by none")
 
@@ -623,22 +376,3 @@
         if not world.breaches:
             ending()
     return world
-
-
-def shrink(day: Day, fails: Callable[[Day], bool]) -> Day:
-    """The fewest deeds that still fail: halves, quarters and single ones are left out in turn."""
-    size = max(1, len(day.deeds) // 2)
-    while True:
-        at = 0
-        while at < len(day.deeds):
-            less = replace(day, deeds=day.deeds[:at] + day.deeds[at + size :])
-            if fails(less):
-                day = less
-            else:
-                at += size
-        if size == 1:
-            return day
-        size = max(1, size // 2)
-
-
-__all__ = ["Act", "Chaos", "Day", "draw", "play", "shrink"]
--- a/tests/world.py
+++ b/tests/world.py
@@ -82,6 +82,8 @@
 
 
 class World:
+    pace = TICK
+
     def __init__(
         self,
         core: int,
@@ -200,7 +202,7 @@
         def go() -> None:
             self.deeds(name, core.tick(self.now))
             self.watch(name, core)
-            self.at(self.now + TICK, lambda: self.tick(name, core))
+            self.at(self.now + self.pace, lambda: self.tick(name, core))
 
         self.unless_frozen(name, core, go)
 
