Take credits back once, and only those that the window has granted to their giver

Between doors a call may come twice or late. A counter now keeps, by caller and window, what is out and the highest number of a call; what is given back counts with a number above that, and up to what is out. No message has changed. Measured: the new test fails with the old arithmetic put back in, and passes; the files of quotas, duties and scenarios pass. Ruled out: the window on the wire, as the caller's own grants of a window say the same.

--- a/bench/scale/program.py
+++ b/bench/scale/program.py
@@ -114,7 +114,7 @@
 def counter_of(tenants: int) -> Counter:
     counter = Counter(QuotaRule().window)
     for n in range(tenants):
-        counter.lease(0.5, 2.0, f"tenant-{n:06d}", 1.0, 30.0)
+        counter.lease(0.5, 2.0, f"tenant-{n:06d}", 1.0, 30.0, ("door", 1), n)
     return counter
 
 
--- a/nectar/counter.py
+++ b/nectar/counter.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+Caller = tuple[str, int]  # a door's address and life
 
 FORGET = 30.0  # windows without a call after which a counter is dropped
 
 
 @dataclass(slots=True)
 class Count:
+    """One tenant's: what is out in a window, and by caller what that one was granted of it and has not given back."""
+
     window: int
     total: float = 0.0
+    out: dict[Caller, float] = field(default_factory=dict)
+    calls: dict[Caller, int] = field(default_factory=dict)  # the highest number of a call of each
 
 
 class Counter:
@@ -22,19 +28,32 @@
         self.counts: dict[str, Count] = {}
 
     def lease(
-        self, now: float, until: float, tenant: str, units: float, limit: float
+        self,
+        now: float,
+        until: float,
+        tenant: str,
+        units: float,
+        limit: float,
+        caller: Caller,
+        number: int,
     ) -> tuple[float, float, float]:
         """Add a batch, or give one back (negative): what is granted, for how many seconds, and the part of the
-        window's limit that is out."""
+        window's limit that is out.  `number` grows with each call of a caller.  What is given back counts once, and
+        no more of it than this window has granted to that caller: a call may come twice, late, or in another window."""
         window = math.floor(now / self.length)
         count = self.counts.get(tenant)
         if count is None or count.window != window:
             count = self.counts[tenant] = Count(window)
         left = min((window + 1) * self.length, until) - now
+        out, last = count.out.get(caller, 0.0), count.calls.get(caller, 0)
+        count.calls[caller] = max(last, number)
         if units < 0:
-            count.total = max(0.0, count.total + units)
+            back = min(-units, out) if number > last else 0.0
+            count.out[caller] = out - back
+            count.total -= back
             return 0.0, left, count.total / max(1.0, limit)
         granted = max(0.0, min(units, limit - count.total)) if left > 0 else 0.0
+        count.out[caller] = out + granted
         count.total += granted
         return granted, max(0.0, left), count.total / max(1.0, limit)
 
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -18,7 +18,7 @@
 from queenless.deeds import Danced, Deed, Message, Poll, Send
 from queenless.herald import Herald, ask_for
 from queenless.orders import Order
-from swarm.duties import Duties
+from swarm.duties import Duties, Who
 from swarm.peers import TERM, About, Peers
 from swarm.rendezvous import shard
 from waggle.news import Server
@@ -215,7 +215,7 @@
         if holder is not None and holder != self.me.ip:
             ask = {"k": "lease", "n": tenant, "q": number, "u": int(units), "y": self.me.life}
             self.deeds.append(Send(holder, ask))
-        elif (granted := self.count(now, tenant, number, units)) is None:
+        elif (granted := self.count(now, tenant, (self.me.ip, self.me.life), number, units)) is None:
             self.deeds.append(Lapsed(tenant))
         elif units > 0:
             self.deeds.append(granted)
@@ -226,12 +226,13 @@
         """The duty that a tenant's counter belongs to."""
         return 1 + shard(tenant, SHARDS)
 
-    def count(self, now: float, tenant: str, number: int, units: float) -> Granted | None:
+    def count(self, now: float, tenant: str, caller: Who, number: int, units: float) -> Granted | None:
         """Add to a counter of this door; nothing where it is not this door's."""
         until = self.duties.until(self.counter_of(tenant))
         if until <= now:
             return None
-        return Granted(tenant, number, *self.counter.lease(now, until, tenant, units, self.limit(tenant)))
+        found = self.counter.lease(now, until, tenant, units, self.limit(tenant), caller, number)
+        return Granted(tenant, number, *found)
 
     # --- messages -----------------------------------------------------------------------------------------
 
@@ -303,7 +304,7 @@
             self.peers.meet(now, About(*row))
 
     def on_lease(self, now: float, source: str, message: Message) -> None:
-        granted = self.count(now, message["n"], message["q"], message["u"])
+        granted = self.count(now, message["n"], (source, message["y"]), message["q"], message["u"])
         if granted is None:
             self.deeds.append(Send(source, {"k": "lost", "n": message["n"], "y": message["y"]}))
         elif message["u"] > 0:
--- a/tests/test_forage.py
+++ b/tests/test_forage.py
@@ -274,7 +274,8 @@
         due, flying = [f for f in flying if f[0] <= now], [f for f in flying if f[0] > now]
         for _, door, call in due:
             if owner and dice.random() > 0.1:
-                granted = counter.lease(now, until, "green", call.units, rule.limit(rate, burst, 11))
+                limit, caller = rule.limit(rate, burst, 11), ("door", doors.index(door))
+                granted = counter.lease(now, until, "green", call.units, limit, caller, call.number)
                 door.granted(now, Granted("green", call.number, *granted))
     most = max(
         sum(start <= t < start + rule.span for t in served) for start in [50 + n * 0.1 for n in range(250)]
@@ -283,6 +284,24 @@
     assert len(served) / 30 > rate  # and the tenant gets what it pays for
 
 
+def test_what_is_given_back_counts_once_and_only_of_what_its_window_granted_its_giver() -> None:
+    counter, one, other = Counter(10.0), ("a", 1), ("b", 1)
+
+    def call(now: float, caller: tuple[str, int], number: int, units: float) -> float:
+        return counter.lease(now, 1e9, "green", units, 40.0, caller, number)[0]
+
+    assert (call(1, one, 1, 30.0), call(1, other, 1, 20.0)) == (30.0, 10.0)
+    for _ in range(3):  # comes more than once
+        call(2, one, 2, -10.0)
+    assert call(3, other, 2, 40.0) == 10.0
+    call(4, ("a", 2), 1, -20.0)  # of another life
+    assert call(5, other, 3, 40.0) == 0.0
+    assert call(11, one, 4, 5.0) == 5.0
+    call(12, one, 3, -20.0)  # of the window before, late
+    call(12, other, 4, -10.0)
+    assert call(13, other, 5, 40.0) == 35.0
+
+
 def test_routes_by_the_longest_prefix_and_splits_by_weight() -> None:
     found = WORD.route("h", "/r/deep/x")
     assert found is not None and found.name == "deep" and WORD.route("h", "/none/") is None
