Do not send a large request without its body once nobody waits for its answer

A client that sent a large body whole and left, or a door that ended, while the try still waited for its connection to a server: the body was let go, the try was not. With a length it got a head that kept a slot until the body stood still for 20 s.

A request that is settled ends its tries that have no connection yet, where its body is passed on as it comes. This is in ivymux/host.py, so also in the front door in service, which has the same path. Ruled out: ending all tries of a request whose client has left, as those that are written run on by intent; and a check in Upload.attach, as the head is written before it.

test_uploads.py: four cases fail without it, two show that what waits for a connection goes out whole.

--- a/ivymux/host.py
+++ b/ivymux/host.py
@@ -371,6 +371,10 @@
             request.guard.cancel()
         if answer is not None:
             request.caller.reply(answer)
+        if request.upload is not None:
+            for attempt in list(request.out.values()):
+                if attempt.link is None:  # its body has been let go: it could only be sent without
+                    attempt.give_up(Outcome.CANCELLED)
 
     def drop(self, request: Open) -> None:
         if request.settled and not request.out:
--- /dev/null
+++ b/tests/test_uploads.py
@@ -0,0 +1,111 @@
+"""Large bodies passed on to servers: what becomes of them once nobody waits for their answer, without sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from typing import Any, cast
+
+import pytest
+
+from comb.word import read
+from forage.fleet import Fleet
+from forage.gate import Forager, Rule
+from hive.front import Carrier, Front, Visitor
+from hive.servers import Line, Servers
+from ivymux.config import Address
+from ivymux.link import READ, SMALL
+from ivymux.metrics import Counts
+
+from .test_forage import ZONES, document, servers
+from .test_servers import Wire
+
+WORD = read(json.dumps(document()).encode())
+HEAD = b"POST /w/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k2\r\nX-Hazelspring-Attempt-Id: me\r\n"
+BODY = b"y" * (SMALL + 9)
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n" % (len(BODY), BODY)
+SIZED = HEAD + b"Content-Length: %d\r\n\r\n%b" % (len(BODY), BODY)
+
+
+class Held(Wire):
+    """One that may be told not to read."""
+
+    def pause_reading(self) -> None: ...
+
+    def resume_reading(self) -> None: ...
+
+
+def door() -> Front:
+    """A front whose connections to servers never come up by themselves."""
+    counts = Counts()
+    fleet = Fleet("a1", "a", ZONES, random.Random(1))
+    forager, upstream = Forager(Rule(), fleet, 1), Servers(0.3, 9.0, 100, counts)
+    carrier = Carrier(forager, upstream, counts, lambda call: None)
+    front = Front(Address("127.0.0.1", 9), carrier, 100, lambda: True)
+    front.take_word(WORD)
+    forager.take_word(WORD)
+    forager.fresh_until = 1e18
+    forager.listed(carrier.clock(), "shop", servers("a1-0", "a1-1"))
+    for number in fleet.servers:
+        upstream.place(number, Address("127.0.0.1", 9), 0.0)
+    return front
+
+
+def feed(visitor: Visitor, data: bytes) -> None:
+    for n in range(0, len(data), SMALL):
+        piece = data[n : n + SMALL]
+        READ[: len(piece)] = piece
+        visitor.buffer_updated(len(piece))
+
+
+def connect(front: Front) -> list[bytes]:
+    """What servers get on the connections that are waited for, once they have come up."""
+    sent = []
+    for pool in cast(Servers, front.host.upstream).pools.values():
+        while pool.waiting:
+            line, wire = Line(pool), Held()
+            line.connection_made(wire)
+            if pool.give(line):
+                sent.append(wire.sent)
+    return sent
+
+
+@pytest.mark.parametrize("data", [CHUNKED, SIZED], ids=["chunked", "sized"])
+@pytest.mark.parametrize("end", ["left", "at the process's end"])
+def test_a_large_request_that_nobody_waits_for_is_not_sent_without_its_body(data: bytes, end: str) -> None:
+    async def run() -> None:
+        front = door()
+        visitor, wire = Visitor(cast(Any, front)), Held()
+        visitor.connection_made(wire)
+        feed(visitor, data)
+        (request,) = front.host.table.values()
+        assert [attempt.link for attempt in request.out.values()] == [None]  # it waits for a connection
+        if end == "left":
+            visitor.connection_lost(None)
+        else:
+            front.host.answer_all()
+            assert wire.sent.startswith(b"HTTP/1.1 504 ")
+        assert connect(front) == []
+        await asyncio.sleep(0)
+        assert not front.host.table and front.host.waiting == 0 and front.held == 0
+        assert [server.out for server in front.host.gateway.fleet.servers.values()] == [0, 0]
+        front.close()
+        cast(Servers, front.host.upstream).close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("data", [CHUNKED, SIZED], ids=["chunked", "sized"])
+def test_a_large_request_that_waited_for_a_connection_is_sent_whole(data: bytes) -> None:
+    async def run() -> None:
+        front = door()
+        visitor = Visitor(cast(Any, front))
+        visitor.connection_made(Held())
+        feed(visitor, data)
+        (sent,) = connect(front)
+        assert BODY in sent and sent.endswith(b"0\r\n\r\n" if data is CHUNKED else BODY)
+        front.close()
+        cast(Servers, front.host.upstream).close()
+
+    asyncio.run(run())
