Cut doors off and stop them for 20 s between real processes, and judge all that is told

Now a core door and a door without a disk are stopped, cut off both ways, or one way in each direction, for 20 s at revocationMs 5000, four yards beside each other, while configurations, two bodies under one number, a closing and one taken back are settled at the others. Orders, reads and keyed requests go to all doors throughout, calls wait at the stopped ones, and callers call without a pause right after.

--- a/apiary/yard.py
+++ b/apiary/yard.py
@@ -57,7 +57,8 @@
 
 class Yard:
     """So many core doors and others; each has an address of its own in 127.0.0.0/8, and all have the same ports.
-    `program` is what runs a door, `settings` are lines beside the usual ones, `apart` gives each server a process."""
+    `program` is what runs a door, `settings` are lines beside the usual ones, `apart` gives each server a process;
+    `nth` keeps the addresses of several yards of one process apart."""
 
     def __init__(
         self,
@@ -68,6 +69,7 @@
         program: tuple[str, ...] = ("-m", "hive", "door"),
         settings: dict[str, str] | None = None,
         apart: bool = False,
+        nth: int = 0,
     ) -> None:
         self.folder, self.program, self.more = folder, program, settings or {}
         self.disks = set(range(core))  # doors that have one
@@ -76,11 +78,14 @@
             7
         )
         net = self.net = f"127.{os.getpid() >> 8 & 255}.{os.getpid() & 255}"
-        self.ips = [f"{net}.{n + 1}" for n in range(core + others)]
+        self.first = first = 1 + 16 * nth
+        self.ips = [f"{net}.{first + n}" for n in range(core + others)]
         self.zones = [list(ZONES)[n % len(ZONES)] for n in range(core + others)]
-        self.platform = f"{net}.200:{self.platform_port}"
+        self.platform = f"{net}.{200 + nth}:{self.platform_port}"
         self.servers = [
-            Server(f"i-{n}", "shop", f"{net}.{100 + n}:{web}", list(ZONES)[n % len(ZONES)], apart=apart)
+            Server(
+                f"i-{n}", "shop", f"{net}.{100 + first + n}:{web}", list(ZONES)[n % len(ZONES)], apart=apart
+            )
             for n in range(servers)
         ]
         self.processes: dict[int, subprocess.Popen[bytes]] = {}
@@ -142,7 +147,7 @@
         that has yet to be started."""
         self.kill(n)
         self.gone.add(n)
-        self.ips.append(f"{self.net}.{len(self.ips) + 1}")
+        self.ips.append(f"{self.net}.{self.first + len(self.ips)}")
         self.zones.append(self.zones[n])
         if n in self.disks:
             self.disks = self.disks - {n} | {len(self.ips) - 1}
--- a/tests/cut_door.py
+++ b/tests/cut_door.py
@@ -1,7 +1,8 @@
 """A door with bad links: `hive door` that drops or delays what other doors send to it, for tests alone.
 
 The file beside its settings that ends in `.cut` names addresses, one a line: what comes from there is dropped, or late
-by the seconds that stand after it.  It is read anew at each message."""
+by the seconds that stand after it.  It is read anew at each message.  `door --credulous` takes what it knows for all
+that there is to know, without asking."""
 
 from __future__ import annotations
 
@@ -12,6 +13,7 @@
 import hive.door
 from hive.__main__ import main
 from hive.mesh import Mesh
+from queenless.control import Control
 
 FILE = Path(os.environ["HAZELSPRING_SETTINGS"]).with_suffix(".cut")
 
@@ -28,6 +30,16 @@
             self.loop.call_later(float(late[0]), super().received, source, data)
 
 
+def credulous() -> None:
+    """Take the fences out."""
+    Control.sure = lambda control, order, now: True  # type: ignore[assignment, method-assign]
+    Control.fresh_at = lambda control, now: now  # type: ignore[assignment, method-assign]
+
+
 if __name__ == "__main__":
     hive.door.Mesh = Cut  # type: ignore[attr-defined]
-    sys.exit(main())
+    words = sys.argv[1:]
+    if "--credulous" in words:
+        words.remove("--credulous")
+        credulous()
+    sys.exit(main(words))
--- /dev/null
+++ b/tests/test_control_cut.py
@@ -0,0 +1,348 @@
+"""Doors cut off or stopped for twenty seconds while orders are settled at the others: all that they say, from the first
+milliseconds on, judged by the rules.  The cases play beside each other, each with processes of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import json
+import signal
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from apiary.__main__ import Background
+from apiary.stands import Stands
+from apiary.yard import KEY, Yard, configuration
+from comb.register import load
+from comb.store import Store
+
+from .control_rules import Disk, chain, copies
+from .cut_history import CLOSE, KEYED, OPEN, PUT, READ, STATUS, Call, History
+
+CUT = 20.0  # seconds
+REVOCATION, EVACUATION = 5.0, 5.0  # seconds: the users' `revocationMs` and `evacuationMs`
+PATIENCE = 6.0  # seconds that a caller waits: twice as long as a door holds an order
+SETTLED = 30.0  # seconds for what ends at once where nothing is wrong
+RUSH = 0.5  # seconds after the cut in which each caller calls without a pause
+BACK, AGAIN = "south-1", "south-2"  # closed before the cut and open again in it; closed in it
+CORE, AWAY, WELL = 3, (1, 3), (0, 2)  # doors with a disk; those that go away, one of them without; the others
+
+
+class Case:
+    """One yard whose doors `AWAY` are stopped, or cut off both ways, or only from what they hear or say."""
+
+    def __init__(self, folder: Path, nth: int, ways: str, *words: str) -> None:
+        self.ways = ways
+        settings = {"timingTerms.ruleBounds.revocationMs": str(int(REVOCATION * 1000))}
+        program = ("-m", "tests.cut_door", *words, "door")
+        self.yard = Yard(folder, CORE, 1, 2, program, settings, nth=nth)
+        self.background = Background(Stands(self.yard.platform, self.yard.servers))
+        self.history = History(REVOCATION, EVACUATION)
+        self.numbers, self.ids = itertools.count(13), itertools.count()
+        self.is_cut, self.rush, self.tasks = False, False, set[asyncio.Task[None]]()
+
+    # --- calls ------------------------------------------------------------------------------------------
+
+    async def call(self, call: Call, method: str, path: str, port: int, *headers: str) -> Call:
+        """Send it and take its answer, if any comes in time."""
+        ip = self.yard.ips[call.door]
+        call.away = self.is_cut and call.door in AWAY
+        with contextlib.suppress(OSError, ValueError, TimeoutError, asyncio.IncompleteReadError):
+            async with asyncio.timeout(PATIENCE):
+                reader, writer = await asyncio.open_connection(
+                    ip, port, local_addr=(f"{self.yard.net}.250", 0)
+                )
+                try:
+                    lines = (
+                        f"{method} {path} HTTP/1.1",
+                        f"Content-Length: {len(call.body)}",
+                        *headers,
+                        "",
+                        "",
+                    )
+                    call.sent = time.monotonic()
+                    self.history.calls.append(call)
+                    writer.write("\r\n".join(lines).encode() + call.body)
+                    head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+                    call.answer = await reader.readexactly(
+                        int(head.partition("content-length:")[2].split()[0])
+                    )
+                    call.ended, call.status = time.monotonic(), int(head.split()[1])
+                finally:
+                    writer.transport.abort()
+        if call.what == READ and call.status == 200:
+            call.number = int(json.loads(call.answer)["versionNumber"][1:])
+        return call
+
+    async def order(self, what: str, door: int, number: int = -1, body: bytes = b"", zone: str = "") -> Call:
+        method = {PUT: "PUT", READ: "GET", STATUS: "GET", CLOSE: "POST", OPEN: "DELETE"}[what]
+        path = {PUT: "/-/configuration", READ: "/-/configuration", STATUS: "/-/status"}.get(
+            what, f"/-/evacuation/{zone}"
+        )
+        call = Call(what, door, time.monotonic(), body, number, zone)
+        return await self.call(call, method, path, self.yard.control, "Host: door")
+
+    async def put(
+        self, door: int, number: int | None = None, timeout_ms: int = 4000, key: str = "coming"
+    ) -> Call:
+        number = next(self.numbers) if number is None else number
+        return await self.order(PUT, door, number, configuration(number, timeout_ms, (KEY, key)))
+
+    async def ask(self, door: int, key: str) -> Call:
+        id_ = f"{self.ways}-{next(self.ids)}"
+        headers = ("Host: shop.example", f"X-Hazelspring-Attempt-Id: {id_}", f"Authorization: Bearer {key}")
+        call = Call(KEYED, door, time.monotonic(), key=key)
+        left = "X-Hazelspring-Remaining-Milliseconds: 1500"
+        return await self.call(call, "GET", f"/read/{id_}", self.yard.front, *headers, left)
+
+    async def until(self, what: Callable[[], Awaitable[bool]]) -> None:
+        async with asyncio.timeout(SETTLED):
+            while not await what():
+                await asyncio.sleep(0.05)
+
+    async def settle(self, make: Callable[[], Awaitable[Call]]) -> Call:
+        """Send an order until its end is clear; one that was sent before is over by then."""
+        tries = list[Call]()
+
+        async def ended() -> bool:
+            tries.append(await make())
+            return tries[-1].status in (200, 409)
+
+        await self.until(ended)
+        if len(tries) > 1:
+            await asyncio.sleep(PATIENCE / 2)
+        return tries[-1]
+
+    def keep(self, make: Callable[[], Awaitable[Call]], pause: float) -> None:
+        """Send such calls one after the other to the end."""
+
+        async def run() -> None:
+            while True:
+                await make()
+                await asyncio.sleep(0.0 if self.rush else pause)
+
+        task = asyncio.create_task(run())
+        self.tasks.add(task)
+
+    # --- what happens ----------------------------------------------------------------------------------
+
+    async def play(self, whole: bool = True) -> None:
+        """Until the doors are well again, or only until they would be back; raises TimeoutError where something that
+        should did not come about."""
+        try:
+            await self.begin()
+            await self.go_away()
+            self.keep_asking()
+            back = time.monotonic() + CUT
+            await self.orders(back)
+            await asyncio.sleep(max(0.0, back - time.monotonic()))
+            if whole:
+                self.come_back()
+                await self.catch_up()
+        finally:
+            for task in self.tasks:
+                task.cancel()
+            await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def begin(self) -> None:
+        """All doors run, let the key `leaving` in, and know that a zone is closed."""
+        self.yard.start_all(first=True)
+        await self.settle(lambda: self.put(0, 10, key="leaving"))
+        await self.settle(lambda: self.order(CLOSE, 0, zone=BACK))
+        for n in (*WELL, *AWAY):
+            await self.until(lambda n=n: self.serves(n, "leaving"))  # type: ignore[misc]
+            await self.until(lambda n=n: self.shows(n, {BACK}))  # type: ignore[misc]
+
+    async def serves(self, door: int, key: str) -> bool:
+        return (await self.ask(door, key)).status == 200
+
+    async def shows(self, door: int, zones: set[str]) -> bool:
+        status = await self.order(STATUS, door)
+        return status.status == 200 and set(json.loads(status.answer)["closedZones"]) == zones
+
+    async def go_away(self) -> None:
+        self.is_cut = True
+        for n in range(len(self.yard.ips)):
+            if self.ways == "stopped":
+                break
+            unheard = [
+                self.yard.ips[other]
+                for other in range(len(self.yard.ips))
+                if other != n
+                and ((n in AWAY and self.ways != "out") or (other in AWAY and self.ways != "in"))
+            ]
+            path = self.yard.folder / f"door-{n + 1}.cut"
+            path.with_suffix(".new").write_text("".join(f"{ip}\n" for ip in unheard))
+            path.with_suffix(".new").rename(path)
+        for n in AWAY if self.ways == "stopped" else ():
+            self.yard.processes[n].send_signal(signal.SIGSTOP)
+
+    def come_back(self) -> None:
+        self.rush = (
+            True  # callers whose calls wait at a stopped door get their answers, and call at once again
+        )
+        for path in self.yard.folder.glob("*.cut"):
+            path.unlink()
+        for n in AWAY if self.ways == "stopped" else ():
+            self.yard.processes[n].send_signal(signal.SIGCONT)
+        self.is_cut = False
+
+    def keep_asking(self) -> None:
+        """Reads and keyed requests at all doors, and what the others show of zones."""
+        for n in (*WELL, *AWAY):
+            self.keep(lambda n=n: self.order(READ, n), 0.2)  # type: ignore[misc]
+            for key in (KEY, "leaving", "coming"):
+                self.keep(lambda n=n, key=key: self.ask(n, key), 0.3)  # type: ignore[misc]
+        for n in WELL:
+            self.keep(lambda n=n: self.order(STATUS, n), 0.4)  # type: ignore[misc]
+
+    async def orders(self, until: float) -> None:
+        """At the doors that are well, each confirmed; then at the others, too, all kinds."""
+        one, two = WELL
+        self.history.offered = time.monotonic()
+        moved = await self.settle(lambda: self.put(one, 11))
+        self.history.leaving = moved.ended
+        await self.settle(lambda: self.order(OPEN, two, zone=BACK))
+        await self.settle(lambda: self.order(CLOSE, one, zone=AGAIN))
+        twins = await asyncio.gather(
+            self.settle(lambda: self.put(one, 12)), self.settle(lambda: self.put(two, 12, 3999))
+        )
+        assert sorted(twin.status for twin in twins) == [200, 409], twins
+        for n in AWAY:
+            for timeout_ms in (4000, 3999, 3998):
+                self.keep(lambda n=n, ms=timeout_ms: self.put(n, 12, ms), 0.1)  # type: ignore[misc]
+            self.keep(lambda n=n: self.put(n, 11), 0.1)  # type: ignore[misc]
+            self.keep(lambda n=n: self.put(n), 0.1)  # type: ignore[misc]
+            self.keep(lambda n=n: self.order(CLOSE, n, zone=BACK), 0.1)  # type: ignore[misc]
+            self.keep(lambda n=n: self.order(OPEN, n, zone=AGAIN), 0.1)  # type: ignore[misc]
+        while time.monotonic() < until - 1.0:
+            await self.settle(lambda: self.put(one))
+            await asyncio.sleep(0.5)
+
+    async def catch_up(self) -> None:
+        """The doors that were away serve again, and all doors come to show what was confirmed."""
+        for n in AWAY:
+            await self.until(lambda n=n: self.serves(n, "coming"))  # type: ignore[misc]
+        await asyncio.sleep(RUSH)
+        for task in self.tasks:
+            task.cancel()
+        for n in AWAY:
+            assert (await self.settle(lambda n=n: self.put(n))).status == 200  # type: ignore[misc]
+        for n in (*WELL, *AWAY):
+            await self.settle(lambda n=n: self.order(READ, n))  # type: ignore[misc]
+        for n in (*WELL, *AWAY):
+            await self.until(lambda n=n: self.shows_confirmed(n))  # type: ignore[misc]
+
+    async def shows_confirmed(self, door: int) -> bool:
+        """What nobody asked the contrary of meanwhile; what was left unclear may hold or not."""
+        status = await self.order(STATUS, door)
+        if status.status != 200:
+            return False
+        good, closed = self.history.good(CLOSE, OPEN), json.loads(status.answer)["closedZones"]
+        closes = any(c.what == CLOSE and c.zone == BACK and c.sent > self.history.leaving for c in good)
+        opens = any(c.what == OPEN and c.zone == AGAIN for c in good)
+        return not (closes and BACK not in closed) and not (opens and AGAIN in closed)
+
+    def disks(self) -> str:
+        """What is wrong with the disks in the end: the newest state is on a majority of them."""
+        held = dict[str, Disk]()
+        for n in self.yard.disks:
+            self.yard.kill(n)
+            register = load(Store(str(self.yard.folder / f"door-{n + 1}")).load(), 0, False)
+            states = tuple(pair[1] for pair in (register.accepted, register.decided) if pair is not None)
+            held[self.yard.ips[n]] = (register.disk, register.founder, states)
+        decided = [states[-1] for _, _, states in held.values()]
+        newest = max(decided, key=lambda state: state.version)
+        return chain([s for s in decided if s.version == newest.version]) or copies(newest, held, 0)
+
+    def close(self) -> None:
+        self.yard.close()
+        self.background.close()
+
+
+def test_each_rule_of_a_history_is_reported_when_it_is_broken() -> None:
+    history = History(REVOCATION, EVACUATION, leaving=11.0, offered=10.0)
+
+    def tell(what: str, sent: float, ended: float, status: int = 200, **more: Any) -> None:
+        history.calls.append(Call(what, 0, sent, ended=ended, status=status, **more))
+
+    tell(PUT, 0, 1, number=1, body=b"a")
+    tell(READ, 1.5, 2, number=1, answer=b"a")
+    tell(PUT, 3, 4, number=2, body=b"b")
+    tell(READ, 3.5, 5, number=1, answer=b"a")  # sent before r2 was confirmed
+    tell(CLOSE, 1, 2, zone="one")
+    tell(STATUS, 6, 7, answer=b'{"closedZones": []}')  # not late yet
+    tell(KEYED, 15, 18, key="leaving")
+    tell(KEYED, 15, 18, 401, key="coming")
+    assert history.judge() == []
+    tell(READ, 4.5, 5, number=1, answer=b"a")
+    tell(PUT, 5, 6, number=2, body=b"c")
+    tell(PUT, 6, 7, 409, number=2, body=b"b")
+    tell(PUT, 6, 7, 409, number=9, body=b"z")
+    tell(PUT, 6, 7, 400, number=10, body=b"z")
+    tell(STATUS, 8, 9, answer=b'{"closedZones": []}')
+    tell(KEYED, 17, 18, key="leaving")
+    tell(KEYED, 17, 18, 401, key="coming")
+    tell(KEYED, 5, 6, key="coming")
+    tell(KEYED, 5, 6, 401, key=KEY)
+    assert [told.partition(":")[0] for told in history.judge()] == [
+        "not due",
+        "a read shows r1 after a newer one was confirmed",
+        "another body was shown or confirmed",
+        "refused, and in force",
+        "refused, and there is no other body",
+        "confirmed, and not so",
+        "a key that went got in",
+        "a key refused that is in force",
+        "a key got in that nobody gave",
+        "a key refused that is in force",
+    ]
+
+
+CASES = ("stopped", "both", "in", "out")
+
+
+@pytest.fixture(scope="module")
+def played(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[dict[str, tuple[Case, list[str] | BaseException]]]:
+    """Each case, and what broke a rule in it, or kept it from its end."""
+    cases = {ways: Case(tmp_path_factory.mktemp("yard"), nth, ways) for nth, ways in enumerate(CASES)}
+    cases["credulous"] = Case(tmp_path_factory.mktemp("yard"), len(CASES), "both", "--credulous")
+
+    async def play() -> list[BaseException | None]:
+        plays = (case.play(whole=name != "credulous") for name, case in cases.items())
+        return await asyncio.gather(*plays, return_exceptions=True)
+
+    try:
+        ends = zip(cases.items(), asyncio.run(play()), strict=True)
+        yield {name: (case, end or case.history.judge()) for (name, case), end in ends}
+    finally:
+        for case in cases.values():
+            case.close()
+
+
+@pytest.mark.parametrize("ways", CASES)
+def test_doors_that_are_away_for_twenty_seconds_say_nothing_old_and_confirm_nothing_of_their_own(
+    played: dict[str, tuple[Case, list[str] | BaseException]], ways: str
+) -> None:
+    case, found = played[ways]
+    assert found == []
+    assert case.disks() == ""
+    asked = Counter(call.what for call in case.history.calls if call.away)
+    assert min(asked[what] for what in (PUT, READ, CLOSE, OPEN, KEYED)) >= 4, asked
+
+
+def test_doors_that_take_what_they_know_for_all_there_is_are_caught(
+    played: dict[str, tuple[Case, list[str] | BaseException]],
+) -> None:
+    _, found = played["credulous"]
+    assert isinstance(found, list)
+    for fault in ("a read shows", "confirmed, and not so", "a key that went got in"):
+        assert any(told.startswith(fault) for told in found), found
