--- a/bench/scale/program.py
+++ b/bench/scale/program.py
@@ -16,7 +16,7 @@
 from nectar.credits import Credits
 from queenless.core import LIST, SHARDS, Core, Start
 from queenless.deeds import Danced, Deed, Message, Poll, Save, Send
-from queenless.orders import Done
+from queenless.order import Done
 from queenless.teller import LEASE
 from swarm.peers import About
 from waggle.news import News, Server, home, parse, tag
--- a/hive/door.py
+++ b/hive/door.py
@@ -32,7 +32,7 @@
 from queenless.control import MEMBERS, WORD, ZONES
 from queenless.core import Core, Start
 from queenless.deeds import Changed, Danced, Deed, Poll, Save, Send
-from queenless.orders import Done
+from queenless.order import Done
 from swarm.peers import About
 from waggle.news import parse
 
--- a/queenless/control.py
+++ b/queenless/control.py
@@ -21,7 +21,8 @@
 )
 from queenless.deeds import Changed, Deed, Message, Save, Send
 from queenless.membership import Membership
-from queenless.orders import Order, Orders
+from queenless.order import Order
+from queenless.orders import Orders
 from swarm.peers import Peers
 from swarm.rendezvous import owner
 
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -18,7 +18,7 @@
 from queenless.control import ASK_AGAIN, Control
 from queenless.deeds import Danced, Deed, Message, Poll, Send
 from queenless.herald import Herald, ask_for
-from queenless.orders import Order
+from queenless.order import Order
 from queenless.teller import LEASE
 from swarm.duties import Duties, Who
 from swarm.peers import TERM, About, Peers
--- a/queenless/deeds.py
+++ b/queenless/deeds.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from nectar.credits import Granted, Lapsed
-from queenless.orders import Done
+from queenless.order import Done
 
 Message = dict[str, Any]
 
--- a/queenless/membership.py
+++ b/queenless/membership.py
@@ -4,7 +4,8 @@
 
 from comb.register import Register
 from comb.state import Member, State, lineage
-from queenless.orders import Founding, Order, Orders
+from queenless.order import Founding, Order
+from queenless.orders import Orders
 from swarm.peers import Peer, Peers
 
 QUIET = 1.5  # seconds without a new door with a disk, at the first start, before the founding is proposed,
--- a/tests/chaos_rules.py
+++ b/tests/chaos_rules.py
@@ -12,7 +12,7 @@
 from comb.word import digest
 from queenless.core import Core, Start
 from queenless.deeds import Message
-from queenless.orders import Done
+from queenless.order import Done
 from swarm.peers import About
 
 from .chaos_days import Day
--- a/tests/control_door.py
+++ b/tests/control_door.py
@@ -11,7 +11,7 @@
 from queenless.control import Control
 from queenless.deeds import Message
 from queenless.membership import Membership
-from queenless.orders import Order
+from queenless.order import Order
 from swarm.peers import About, Peers
 
 NEVER = float("inf")
--- a/tests/control_model.py
+++ b/tests/control_model.py
@@ -20,7 +20,7 @@
 from comb.register import load
 from comb.state import NO_BALLOT, State
 from queenless.deeds import Deed, Message, Save, Send
-from queenless.orders import Done, Order
+from queenless.order import Done, Order
 from swarm.peers import About, Peers
 
 from .control_door import NEVER, Door, Event, once, spent_at
--- a/tests/control_rules.py
+++ b/tests/control_rules.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from comb.state import State
-from queenless.orders import Done, Order
+from queenless.order import Done, Order
 
 Disk = tuple[int, bool, tuple[State, ...]]  # its number, whether it may found, and the states on it
 
--- a/tests/test_control_model.py
+++ b/tests/test_control_model.py
@@ -19,7 +19,8 @@
 from comb.register import Register
 from comb.state import NO_BALLOT, Member, State
 from queenless.control import Control
-from queenless.orders import Ask, Founding, Order, Orders
+from queenless.order import Founding, Order
+from queenless.orders import Ask, Orders
 from swarm.peers import About
 
 from .control_door import Door, Event
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -10,7 +10,7 @@
 
 from comb.register import Lacking, Register, load
 from comb.state import NO_BALLOT, NO_WORD, Ballot, Member, State, founding
-from queenless.orders import Founding, Order
+from queenless.order import Founding, Order
 
 SEATS = tuple(Member(f"d{n}", f"z{n}", "east", n) for n in (1, 2, 3))
 FIRST = State(1, SEATS, SEATS, 3)
--- a/tests/world.py
+++ b/tests/world.py
@@ -20,7 +20,7 @@
 from nectar.credits import Granted, Lapsed
 from queenless.core import LIST, Core, Start
 from queenless.deeds import Changed, Danced, Deed, Message, Poll, Save, Send
-from queenless.orders import Done
+from queenless.order import Done
 from swarm.peers import About
 from waggle.news import Server
 
