Let members go on when a round is dropped before their promises have come

Cause: a round that was dropped told only those who had promised by then. Members whose promise was still on its way kept all others out for HOLD (1 s), and who was put off asked again each 0.25 s. Change: whoever was asked and has not refused is told that the round is over, and again if its promise still comes. Ruled out: a shorter HOLD, by which a slow disk's round would be outbid for ever.

--- a/queenless/orders.py
+++ b/queenless/orders.py
@@ -43,7 +43,8 @@
     target: State | None = None
     began: float = 0.0
     phase_began: float = 0.0
-    put_off: bool = False  # a member lets another round go first
+    put_off: set[str] = field(default_factory=set)  # members that said so to what they were last asked
+    met: bool = False  # a member lets another round go first
     wait: float = 0.0  # seconds for which a round that outbid this one may take
 
 
@@ -62,6 +63,7 @@
         self.register, self.me, self.chance, self.answers = register, me, chance, answers
         self.open: list[Order] = []
         self.round: Round | None = None
+        self.dropped = NO_BALLOT  # of the last round that ended without a decision
         self.count = 0  # the highest ballot's count that was heard of
         self.fails, self.pause_until = 0, -1e9
         self.over: list[Ask] = []  # what is to be sent of rounds that have ended
@@ -127,7 +129,7 @@
         state = self.register.state
         if self.round is not None and self.register.version > self.round.base.version:
             self.drop()  # another door's round has ended: what is left begins from there
-        met = self.round is not None and (self.round.refused or self.round.put_off)
+        met = self.round is not None and (self.round.refused or self.round.met)
         if met and self.round is not None and now - self.round.phase_began > LONG:
             self.give_up(now)  # who is left does not answer either
         if state is None or not self.open:
@@ -184,6 +186,7 @@
             if ip in have or ip in current.refused or now - current.sent.get(ip, -1e9) < AGAIN:
                 continue
             current.sent[ip] = now
+            current.put_off.discard(ip)
             message: dict[str, Any] = {"b": list(current.ballot), "d": current.base.version}
             if current.target is None:
                 message |= {"k": "prepare", "h": current.base.digest}
@@ -216,6 +219,8 @@
     ) -> None:
         """A member promised, and told what it last accepted, with the configuration where that may be new here."""
         current = self.round
+        if ballot == self.dropped:  # it overtook the word that this round is over, or came before it
+            self.over.append(Ask(source, {"k": "over", "b": list(ballot)}))
         if current is None or current.ballot != ballot or current.target is not None:
             return
         current.promises[source], current.holds[source] = voter, list(holds)
@@ -238,7 +243,7 @@
                 return
             current.words[target.digest] = word  # its order may end before the round does
         current.target, current.sent, current.refused = target, {}, set()
-        current.phase_began, current.put_off = now, False
+        current.phase_began, current.put_off, current.met = now, set(), False
 
     def enough(self, now: float, current: Round, target: State) -> bool:
         """Whether a majority is there to accept.  A state that too few can accept would stay half agreed on, and keep
@@ -271,7 +276,8 @@
         if current is None or current.ballot != ballot or brought is (current.target is None):
             return
         if wait and not brought:
-            current.put_off = True
+            current.put_off.add(source)
+            current.met = True
             return
         current.refused.add(source)
         current.wait = max(current.wait, wait)
@@ -289,11 +295,14 @@
         return member.ip in have or member.ip == self.me[0] or self.answers(now, member)
 
     def drop(self) -> None:
-        """End a round that has decided nothing; members that let it in need not keep others waiting for it."""
+        """End a round that has decided nothing; members that let it in, or whose promise is still on its way, need
+        not keep others waiting for it."""
         if self.round is not None:
             message = {"k": "over", "b": list(self.round.ballot)}
-            self.over += [Ask(ip, message) for ip in self.round.promises]
-            self.round = None
+            out = self.round.refused | self.round.put_off
+            asked = dict.fromkeys([*self.round.promises, *self.round.sent])
+            self.over += [Ask(ip, message) for ip in asked if ip not in out]
+            self.dropped, self.round = self.round.ballot, None
 
     def give_up(self, now: float) -> None:
         """End a round that met another, and begin anew above it: once that one has ended, as a newer state tells, or
