Hand orders whose rounds meet to the door whose round goes first

Need: of rounds that meet one is decided, and all others begin anew at once and meet again. Change: a door that is refused or outbid hands its operators' orders (put, evacuate) to the door whose ballot it was told, and on a newer state to the one that decided it; that door's next round brings them. The asker judges by the decided state only, and goes alone where none brought its order in 0.2 to 0.4 s. A handed order may be applied to the version on which it was handed and to the next, to no other: once it holds, whatever undoes it is decided after both, so a late or doubled copy undoes nothing. An order that another door brings ends without a round of its own once what stood here was known as the newest after it came. An order that meets none is handed to nobody (test). The model has two cases for it; with the bound on versions taken out, or one longer, it finds a zone that was opened and is closed again. Ruled out: orders in the prepare (their bytes would go along at rest); a window of three versions (the model).

--- a/bench/scale/program.py
+++ b/bench/scale/program.py
@@ -34,6 +34,7 @@
     "accepted",
     "no",
     "over",
+    "hand",
     "lack",
 }  # messages of the agreement's rounds,
 BRINGING = {"want", "decided"}  # and those that bring what was decided to all doors
--- a/queenless/control.py
+++ b/queenless/control.py
@@ -57,9 +57,6 @@
         self.queued: list[tuple[str, Message]] = []  # and for the next one
         self.failed = False
         self.guest = NOBODY  # whose round is under way here: until when, whose, on what base, and whether it has chosen
-        self.put_off: dict[
-            str, None
-        ] = {}  # doors without a seat that wait for what is under way, in their order
         self.own: list[Message] = []  # messages of this door to itself
         self.asked: tuple[float, int] = (-1e9, 0)  # when a newer state was asked for, and how often
         self.behind: dict[str, None] = {}  # doors that told of a lower lineage than the one here
@@ -163,8 +160,8 @@
             )
             for ask in () if waits else self.orders.step(now):
                 self.emit(ask.to, ask.message)
-            while self.orders.over:
-                ask = self.orders.over.pop()
+            while self.orders.outbox:
+                ask = self.orders.outbox.pop()
                 self.emit(ask.to, ask.message)
             if self.own:
                 self.take(now, self.peers.me.ip, self.own.pop(0))
@@ -193,10 +190,9 @@
         if not self.register.learn(ballot, state, word):
             return
         self.guest = NOBODY
-        self.orders.eager()
-        for source in self.put_off:  # members hear it from who has decided
+        self.orders.eager(now)
+        for source in self.orders.carried.told(state):  # members hear it from who has decided
             self.tell(source, NO_WORD)
-        self.put_off = {}
         if before is None or state.digest != before.digest:
             self.deeds.append(Changed(WORD))
         if before is None or state.closed != before.closed:
@@ -305,6 +301,8 @@
                     self.guest = NOBODY
             case "lack":
                 self.orders.lacks(source, ballot_of(message["b"]))
+            case "hand":
+                self.orders.carried.take(now, source, message["v"], message["o"])
             case "want":
                 self.on_want(source, message)
             case "decided":
@@ -361,8 +359,8 @@
     def refuse(self, now: float, source: str, message: Message, waits: bool) -> None:
         """Answer no; `waits`: for no longer than another door's round may take here."""
         wait = max(0, int(1000 * (self.guest[0] - now))) if waits else 0
-        if wait and (state := self.state) is not None and state.seat(source) is None:
-            self.put_off[source] = None
+        if wait:
+            self.orders.carried.waiting[source] = None
         told = {"k": "no", "b": message["b"], "p": list(self.register.promised), "w": wait}
         self.emit(source, {**told, "a": message["k"] == "accept"})
 
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -16,7 +16,7 @@
 from nectar.credits import Granted, Lapsed
 from queenless.beats import FAR_BEAT, NEAR_BEAT, Beats
 from queenless.control import ASK_AGAIN, Control
-from queenless.deeds import Danced, Deed, Message, Poll, Send
+from queenless.deeds import AGREEMENT, Danced, Deed, Message, Poll, Send
 from queenless.herald import Herald, ask_for
 from queenless.order import Order
 from queenless.teller import LEASE
@@ -244,7 +244,7 @@
         """A message from another door; one that is malformed raises, and changes at most soft state."""
         self.deeds = []
         match message["k"]:
-            case "prepare" | "promise" | "accept" | "accepted" | "no" | "over" | "lack" | "want" | "decided":
+            case kind if kind in AGREEMENT:
                 self.deeds += self.control.heard(now, source, message)
                 self.look(now)
                 return self.deeds
--- a/queenless/deeds.py
+++ b/queenless/deeds.py
@@ -9,6 +9,10 @@
 from queenless.order import Done
 
 Message = dict[str, Any]
+# kinds of messages that the agreement takes
+AGREEMENT = frozenset(
+    ["prepare", "promise", "accept", "accepted", "no", "over", "hand", "lack", "want", "decided"]
+)
 
 
 @dataclass(slots=True, frozen=True)
--- a/queenless/order.py
+++ b/queenless/order.py
@@ -24,6 +24,7 @@
     grows: bool = False  # a join that makes the core larger by intent
     by_hand: bool = False  # a member goes, and the core is meant to be smaller from then on
     version: int = -1  # of the state in force here when it came
+    sure: bool = False  # once after it came, what was in force here was the newest
 
     def apply(self, state: State) -> State:
         """What is to follow a state for this order; the same state where nothing is to change."""
--- a/queenless/orders.py
+++ b/queenless/orders.py
@@ -9,6 +9,7 @@
 
 from comb.register import Register
 from comb.state import NO_BALLOT, NO_WORD, Ballot, Member, State, majority, missing, voices_needed
+from queenless.carrying import Carried, Hands, carriable
 from queenless.order import Done, Order
 
 AGAIN = 0.25  # seconds between sendings to a member that has not answered
@@ -16,6 +17,7 @@
 WAIT = 3.0  # seconds for an order; its sender moves on sooner, and sends it to any door again
 LOOK = 0.3  # seconds in which voices may settle what changes nothing, before that takes a round
 PAUSE = 0.03  # seconds at least after a round that met another: a part of a round trip between regions,
+CARRY = 0.2  # seconds at least that another door has for orders it was handed, before this one goes alone
 MOST_PAUSE = 0.3  # doubled each time, up to half of the time for which a round may go first
 
 
@@ -66,16 +68,33 @@
         self.dropped = NO_BALLOT  # of the last round that ended without a decision
         self.count = 0  # the highest ballot's count that was heard of
         self.fails, self.pause_until = 0, -1e9
-        self.over: list[Ask] = []  # what is to be sent of rounds that have ended
+        self.outbox: list[Ask] = []  # that rounds have ended, and orders for other doors
+        self.carried, self.hands = Carried(), Hands()
         self.sure_since = -1e9  # when the last round began that a majority has brought to its end
 
     def begin(self, order: Order) -> None:
         order.version = self.register.version
         self.open.append(order)
 
-    def eager(self) -> None:
-        """A newer state has come: whoever was in the way is done."""
+    def eager(self, now: float) -> None:
+        """A newer state has come: whoever was in the way is done.  Orders that met others go to who decided it, and
+        this door goes alone only where they are not carried out in time."""
+        met = self.fails > 0 or bool(self.hands.to)
         self.fails, self.pause_until = 0, -1e9
+        decided = self.register.decided
+        if not met or decided is None or decided[0][2] == self.me[0]:
+            return
+        if any(carriable(order, decided[1]) for order in self.open):
+            self.hand(decided[0][2])
+            self.pause_until = now + CARRY * (1 + self.chance.random())
+
+    def hand(self, to: str) -> None:
+        """Give orders of operators to the door whose round goes first, for that round or its next."""
+        state = self.register.state
+        if state is None or to == self.me[0]:
+            return
+        if rows := self.hands.give(state, to, self.open):
+            self.outbox.append(Ask(to, {"k": "hand", "v": state.version, "o": rows}))
 
     def has(self, kind: str) -> bool:
         return any(order.kind == kind for order in self.open)
@@ -87,6 +106,8 @@
         unknown here."""
         state, ended = self.register.state, []
         for order in list(self.open):
+            if state is not None and state.version > 0 and not order.sure and sure(order):
+                self.open[self.open.index(order)] = order = replace(order, sure=True)
             if state is not None and state.version > 0 and (done := self.ending(order, state, sure)):
                 ended.append(done)
             elif now - order.began > WAIT:
@@ -101,12 +122,15 @@
             return Done(order.token, True, state=state) if self.register.pending is None else None
         if order.apply(state) is not state:
             return None
-        # that these bytes are in force, or a higher number, stays true whoever tells it; all else may have changed, and
-        # an order whose number another body has may have been acknowledged below a higher one since
-        lasting = order.kind == "put" and state.version > order.version and not order.conflicts(state)
-        if not lasting and not sure(order):
+        # that these bytes are in force, or a higher number, stays true whoever tells it; all else may have been so only
+        # before the order came, but for the newest of some time since and what was decided above it
+        conflicts = order.conflicts(state)
+        lasting = order.kind == "put" and state.version > order.version and not conflicts
+        if not lasting and not order.sure:
             return None  # what stands here may be old
-        if order.conflicts(state):
+        if conflicts and not sure(order):
+            return None  # it may have been acknowledged below a higher number since
+        if conflicts:
             return Done(order.token, False, f"r{state.number} is another body", True, state)
         if order.kind == "read" and state.digest == NO_WORD:
             return Done(order.token, False, "look: no configuration was ever acknowledged", state=state)
@@ -132,11 +156,13 @@
         met = self.round is not None and (self.round.refused or self.round.met)
         if met and self.round is not None and now - self.round.phase_began > LONG:
             self.give_up(now)  # who is left does not answer either
-        if state is None or not self.open:
+        self.carried.sweep(now, state)
+        if state is None or not (self.open or self.carried.wanted(state)):
             self.drop()
             return []
         if self.round is None:
             needed = any(self.needs_round(now, order, state) for order in self.open)
+            needed = needed or bool(self.carried.wanted(state))
             if now < self.pause_until or not needed:
                 return []
             decided = self.register.decided or (NO_BALLOT, state)
@@ -155,8 +181,10 @@
         return state.version > 0 and now - order.began > LOOK
 
     def wanted(self, base: State) -> State:
-        """What is to follow for all open orders; members change by one order at a time."""
+        """What is to follow for all open orders, after those of others; members change by one order at a time."""
         state, moved = base, False
+        for handed in self.carried.wanted(base):
+            state = handed.apply(state)
         for order in self.open:
             if order.moves_members():
                 if moved:
@@ -204,7 +232,8 @@
             return self.register.words[digest]
         if self.round is not None and digest in self.round.words:
             return self.round.words[digest]
-        return next((order.word for order in self.open if order.digest == digest), None)
+        known = [*self.open, *self.carried.orders]
+        return next((order.word for order in known if order.digest == digest), None)
 
     # --- what members answer -----------------------------------------------------------------------------------
 
@@ -220,7 +249,7 @@
         """A member promised, and told what it last accepted, with the configuration where that may be new here."""
         current = self.round
         if ballot == self.dropped:  # it overtook the word that this round is over, or came before it
-            self.over.append(Ask(source, {"k": "over", "b": list(ballot)}))
+            self.outbox.append(Ask(source, {"k": "over", "b": list(ballot)}))
         if current is None or current.ballot != ballot or current.target is not None:
             return
         current.promises[source], current.holds[source] = voter, list(holds)
@@ -278,8 +307,11 @@
         if wait and not brought:
             current.put_off.add(source)
             current.met = True
+            self.hand(higher[2])
             return
         current.refused.add(source)
+        if wait:
+            self.hand(higher[2])
         current.wait = max(current.wait, wait)
         sets = current.target.sets() if current.target is not None else self.asked_sets(current)
         needed = voices_needed if current.target is None else majority
@@ -301,7 +333,7 @@
             message = {"k": "over", "b": list(self.round.ballot)}
             out = self.round.refused | self.round.put_off
             asked = dict.fromkeys([*self.round.promises, *self.round.sent])
-            self.over += [Ask(ip, message) for ip in asked if ip not in out]
+            self.outbox += [Ask(ip, message) for ip in asked if ip not in out]
             self.dropped, self.round = self.round.ballot, None
 
     def give_up(self, now: float) -> None:
--- a/tests/control_door.py
+++ b/tests/control_door.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from comb.state import NO_BALLOT, Ballot, State, ballot_of
+from queenless.carrying import SPAN, Carried, Hands, row_of
 from queenless.control import Control
 from queenless.deeds import Message
 from queenless.membership import Membership
@@ -46,6 +47,8 @@
         held.stale, held.on_disk = set(held.stale), set(held.on_disk)
         orders = new.orders = copy.copy(self.orders)
         orders.register, orders.open = held, list(orders.open)
+        kept = [replace(order, began=NEVER) for order in orders.carried.orders]  # it is never too old
+        orders.carried, orders.hands, orders.outbox = Carried(kept), Hands(), []
         if (old := orders.round) is not None:
             promises, accepts = dict(old.promises), dict(old.accepts)
             orders.round = replace(
@@ -72,7 +75,8 @@
         return (
             (self.peers.me, held.promised, held.accepted, held.decided, frozenset(held.words)),
             (frozenset(held.stale), frozenset(held.on_disk), orders.count, orders.sure_since, self.clock),
-            (tuple((o.token, o.version, o.began) for o in orders.open), turn),
+            (tuple((o.token, o.version, o.sure, o.began) for o in orders.open), turn),
+            tuple((o.on, o.source, *row_of(o)) for o in orders.carried.orders),
             (frozenset(self.records.items()), repr(self.saving), repr(self.held_up), repr(self.queued)),
         )
 
@@ -100,6 +104,8 @@
     held, current = door.register, door.orders.round
     if message["k"] == "decided":
         return not fragile and bool(message["s"][0] <= held.version)
+    if message["k"] == "hand":
+        return not fragile and bool(message["v"] + SPAN <= held.version)
     ballot = ballot_of(message["b"]) if "b" in message else NO_BALLOT
     if message["k"] == "prepare":
         return not fragile and ballot <= held.promised
--- a/tests/control_model.py
+++ b/tests/control_model.py
@@ -24,7 +24,7 @@
 from swarm.peers import About, Peers
 
 from .control_door import NEVER, Door, Event, once, spent_at
-from .control_rules import Disk, chain, copies, kept, unread
+from .control_rules import Disk, chain, copies, kept, undone, unread
 
 T = TypeVar("T")
 UNHEARD = ("no", "over")  # what is said for the sake of time only
@@ -40,6 +40,7 @@
     rounds: int  # of all doors together
     slow: frozenset[str] = frozenset()  # doors whose saves take a step of their own: others save at once
     asks: frozenset[str] = frozenset()  # doors that, knowing no state, may ask any other for one
+    hands: frozenset[tuple[str, str]] = frozenset()  # who may hand its orders to whom, at any time
     deaf: frozenset[str] = (
         frozenset()
     )  # doors that have heard nobody of late: a majority has to promise first
@@ -101,6 +102,7 @@
         self.ends: Numbers[tuple[Order, Done]] = Numbers()
         self.orders = {event.order.token: event.order for event in case.events if event.order is not None}
         self.since = {e.order.token: self.orders[e.after].number for e in case.events if e.order and e.after}
+        self.last = self.orders.keys() - {event.after for event in case.events}  # that no order waits for
         self.to = [0] * len(self.ips)  # letters by receiver
         self.taken: dict[tuple[int, int], Step] = {}  # door and letter
         self.effect: dict[
@@ -130,16 +132,18 @@
                 if door.peers.me.ip not in self.case.slow:
                     todo += self.save(door)
             elif isinstance(deed, Send):
-                if deed.message["k"] not in UNHEARD and deed.to in self.ips:
-                    sent |= 1 << self.letter(door.peers.me.ip, deed.to, deed.message)
+                kind, pair = deed.message["k"], (door.peers.me.ip, deed.to)
+                lost = kind in UNHEARD or (kind == "hand" and pair not in self.case.hands)
+                if not lost and deed.to in self.ips:
+                    sent |= 1 << self.letter(*pair, deed.message)
             elif isinstance(deed, Done):
                 end = (deed.token, deed.good, deed.conflict, deed.state)
                 ended |= 1 << self.ends.of(end, (self.orders[deed.token], deed))
         door.held_up, door.queued = once(door.held_up), once(door.queued)
         orders, answering = door.orders, door.peers.me.ip not in self.case.deaf
         orders.answers = lambda now, member: answering
-        orders.pause_until = NEVER
-        if not any(order.began <= orders.sure_since for order in orders.open):
+        orders.pause_until, orders.fails = NEVER, 0  # a round that met another hands nothing on by itself
+        if not any(order.began <= orders.sure_since and not order.sure for order in orders.open):
             orders.sure_since = -1e9  # it says nothing of orders that come later
         state = door.register.state
         decided = 1 << self.states.of(state, state) if state is not None else 0
@@ -175,7 +179,8 @@
         if isinstance(what, int):  # a round, by its count
             held, orders = door.register, door.orders
             highest = max(orders.count, held.promised[0], (held.decided or (NO_BALLOT,))[0][0])
-            if not orders.open or held.state is None or what <= highest:
+            wanted = orders.open or (held.state and orders.carried.wanted(held.state))
+            if not wanted or held.state is None or what <= highest:
                 return None
             orders.give_up(door.now)
             orders.count, orders.pause_until = what - 1, -1e9
@@ -191,6 +196,10 @@
             deeds, door.asked = door.deeds, (-1e9, 0)
             door.peers = Peers(me, 0.0)
             return self.finish(door, deeds)
+        if isinstance(what, tuple):  # it hands its orders to another door
+            door.deeds = []
+            door.orders.hand(what[1])
+            return self.finish(door, door.advance(door.now)) if door.orders.outbox else None
         event: Event = what
         if not event.ready(old):
             return None
@@ -266,6 +275,7 @@
                 alone.append(("save", left, rounds))
             if ip in self.case.asks:
                 alone += [(other, left, rounds) for other in self.ips if other != ip]
+            alone += [(pair, left, rounds) for pair in self.case.hands if pair[0] == ip]
             for n in bits(left):
                 event = self.case.events[n]
                 if event.ip == ip and (not event.after or self.has(ended, event.after)):
@@ -326,7 +336,7 @@
         if (decided, ended) not in self.sound:
             states = [self.states.values[n] for n in bits(decided)]
             ends = [self.ends.values[n] for n in bits(ended)]
-            told = kept(states, ends) or unread(ends, self.since)
+            told = kept(states, ends) or unread(ends, self.since) or undone(states, ends, self.last)
             self.sound[decided, ended] = told or ("" if self.told_only else chain(states))
         if self.told_only or self.sound[decided, ended]:
             return self.sound[decided, ended]
@@ -358,6 +368,8 @@
                 source, to, body = self.letters.values[what]
                 told = {k: v for k, v in cbor2.loads(body).items() if k not in ("k", "h")}
                 text = f"{source} -> {to} {cbor2.loads(body)['k']} {told}"
+            elif isinstance(what[1], tuple):
+                text = f"{what[0]} hands its orders to {what[1][1]}"
             elif isinstance(what[1], Event):
                 text = f"{what[0]} {what[1].what} {what[1].name}"
             elif isinstance(what[1], int):
--- a/tests/control_rules.py
+++ b/tests/control_rules.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from comb.state import State
 from queenless.order import Done, Order
 
@@ -48,6 +50,17 @@
     return ""
 
 
+def undone(states: list[State], ends: list[tuple[Order, Done]], last: Collection[int]) -> str:
+    """A zone stays as the last order had it, by the tokens of those that no other order came after."""
+    for order, done in ends:
+        if order.kind != "evacuate" or order.token not in last or not done.good or done.state is None:
+            continue
+        later = [s for s in states if s.version >= done.state.version]
+        if any((order.zone in s.closed) is not order.closed for s in later):
+            return f"{order.zone} was {'closed' if order.closed else 'opened'} and is so no more"
+    return ""
+
+
 def copies(newest: State, held: dict[str, Disk], lost: int) -> str:
     """The newest decided state is on a majority of its members' disks, those aside that the case wipes."""
     for members in newest.sets():
--- a/tests/test_carrying.py
+++ b/tests/test_carrying.py
@@ -1,8 +1,137 @@
-"""Orders that meet: rounds that end let others go on."""
+"""Orders that meet: rounds that end let others go on, and what one door hands to another does no harm late or twice."""
 
 from __future__ import annotations
 
+import pytest
+
+from comb.state import Member, State
+from queenless.carrying import KEPT, SPAN, Carried, HandedOrder, Hands
+from queenless.deeds import Message
+from queenless.order import Order
+
 from .test_control import settled_world
+from .world import World
+
+SEATS = (Member("d1", "", "", 1),)
+
+
+def state(version: int, *closed: str) -> State:
+    return State(version, SEATS, SEATS, 1, closed=frozenset(closed))
+
+
+def noted(world: World, kind: str) -> list[tuple[str, str, Message]]:
+    """All messages of a kind from now on: from, to, message."""
+    found: list[tuple[str, str, Message]] = []
+    send = world.send
+
+    def send_on(source: str, to: str, message: Message) -> None:
+        if message["k"] == kind:
+            found.append((source, to, message))
+        send(source, to, message)
+
+    world.send = send_on  # type: ignore[method-assign]
+    return found
+
+
+def storm(world: World) -> list[int]:
+    names = list(world.doors)
+    tokens = [world.put(names[-1 - n], 10 + n) for n in range(6)]
+    return tokens + [world.evacuate(names[n], f"z{n}", True) for n in (0, 1)]
+
+
+# --- what was handed -----------------------------------------------------------------------------------------
+
+
+def test_a_handed_order_may_be_applied_to_two_versions_and_once() -> None:
+    closing = HandedOrder(0, 0.0, "evacuate", zone="z1", closed=True, on=4)
+    assert [closing.apply(state(version)).closed == {"z1"} for version in (3, 4, 5, 6)] == [
+        False,
+        True,
+        True,
+        False,
+    ]
+    carried = Carried()
+    row = ["evacuate", -1, b"", None, "z1", True]
+    for _ in range(3):
+        carried.take(0.0, "d2", 4, [row])
+    assert len(carried.orders) == 1 and carried.wanted(state(4)) and not carried.wanted(state(4, "z1"))
+    carried.sweep(0.0, state(3 + SPAN))
+    assert carried.orders
+    carried.sweep(0.0, state(4 + SPAN))
+    assert not carried.orders
+    carried.take(0.0, "d2", 4, [row])
+    carried.sweep(KEPT + 0.1, state(4))
+    assert not carried.orders
+    with pytest.raises(ValueError):
+        carried.take(0.0, "d2", 4, [["retire", -1, b"", None, "", False]])
+
+
+def test_a_door_is_handed_an_order_once_and_only_what_an_operator_wants_to_change() -> None:
+    hands, closing = Hands(), Order(1, 0.0, "evacuate", zone="z1", closed=True)
+    orders = [closing, Order(0, 0.0, "settle"), Order(2, 0.0, "read"), Order(3, 0.0, "retire", by_hand=True)]
+    assert [row[0] for row in hands.give(state(4), "d2", orders)] == ["evacuate"]
+    assert not hands.give(state(4), "d2", orders)
+    assert hands.give(state(4), "d3", orders) and not hands.give(state(4), "d4", orders)
+    assert hands.give(state(5), "d4", orders) and not hands.give(state(6, "z1"), "d4", orders)
+
+
+@pytest.mark.parametrize("bound", [True, False])
+def test_a_closing_that_comes_late_or_twice_does_not_undo_the_opening(
+    bound: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The bound bites: were a handed order good for any version, the zone would be closed again."""
+    if not bound:
+        monkeypatch.setattr("queenless.carrying.SPAN", 1000)
+    again = 0
+    for seed in range(6):
+        world = settled_world(seed=seed)
+        handed = noted(world, "hand")
+        tokens = storm(world)
+        world.run(1.5)
+        assert all(world.calls[token].good for token in tokens) and handed
+        opened = [world.evacuate(f"d{5 + n}", f"z{n}", False) for n in (0, 1)]
+        world.run(1.0)
+        assert all(world.calls[token].good for token in opened)
+        for source, to, message in [*handed, *handed]:
+            world.send(source, to, message)
+        world.run(1.0)
+        again += world.decided[max(world.decided)].closed != frozenset()
+        assert not world.breaches
+    assert (again == 0) is bound
+
+
+# --- in time ---------------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("core", "seeds", "storms"), [(4, 3, 6), (8, 2, 4), (15, 1, 3)])
+def test_orders_that_meet_are_all_carried_out_in_time(core: int, seeds: int, storms: int) -> None:
+    took = []
+    for seed in range(seeds):
+        world = settled_world(core, seed=seed)
+        for _ in range(storms):
+            tokens = storm(world)
+            world.run(2.0)
+            assert all(world.calls[token].good for token in tokens)
+            took += [world.calls[token].ended - world.calls[token].at for token in tokens]
+            for n in (0, 1):
+                world.evacuate("d1", f"z{n}", False)
+            world.run(1.0)
+        assert not world.breaches
+    assert max(took) < 1.2
+
+
+def test_a_door_goes_alone_when_the_one_that_it_handed_its_order_is_lost() -> None:
+    for seed in range(6):
+        world = settled_world(seed=seed)
+        handed = noted(world, "hand")
+        tokens = storm(world)
+        while not handed and world.now < 110:
+            world.run(0.002)
+        _, carrier, _ = handed[0]
+        world.kill(carrier)
+        world.run(3.5)
+        left = [world.calls[token] for token in tokens if world.calls[token].door != carrier]
+        assert all(call.good and call.ended - call.at < 1.5 for call in left) and not world.breaches
 
 
 def test_a_round_that_is_dropped_before_its_promises_come_keeps_nobody_out() -> None:
@@ -21,3 +150,12 @@
     token = world.put("d6", 7)
     world.run(0.1)
     assert world.calls[token].good and not world.breaches
+
+
+def test_an_order_that_meets_no_other_is_handed_to_nobody() -> None:
+    world = settled_world()
+    handed = noted(world, "hand")
+    for number in range(6, 13):
+        world.put(f"d{number - 5}", number)
+        world.run(0.5)
+    assert not handed and not world.breaches
--- a/tests/test_control_model.py
+++ b/tests/test_control_model.py
@@ -18,6 +18,7 @@
 import comb.state
 from comb.register import Register
 from comb.state import NO_BALLOT, Member, State
+from queenless.carrying import SPAN
 from queenless.control import Control
 from queenless.order import Founding, Order
 from queenless.orders import Ask, Orders
@@ -125,6 +126,23 @@
     return Case(doors, [put("d1", 1, b"a"), read], upto(count, "d1", "d4"), rounds)
 
 
+def evacuate(ip: str, token: int, closed: bool, after: int = 0) -> Event:
+    order = Order(token, 0.0, "evacuate", zone="z1", closed=closed)
+    return Event("order", ip, order, name=f"z1 {'closes' if closed else 'opens'}", after=after)
+
+
+def handed(rounds: int, **counts: tuple[int, ...]) -> Case:
+    """A zone's closing is handed to another door; once it is confirmed, a third door opens the zone."""
+    events = [evacuate("d1", 1, True), evacuate("d3", 2, False, after=1)]
+    return Case(core("d1", "d2", "d3"), events, counts, rounds, hands=frozenset({("d1", "d2")}))
+
+
+def handed_on(count: int, rounds: int) -> Case:
+    """Two bodies under one number, of which one is handed to the door that has the other."""
+    case = race("d1", "d2", "d3", count=count, rounds=rounds)
+    return replace(case, hands=frozenset({("d1", "d2")}))
+
+
 def founding(count: int, rounds: int) -> Case:
     """Two of three seeds choose the first members, each itself alone: the widest that two choices differ."""
     ips = ("d1", "d2", "d3")
@@ -149,6 +167,8 @@
     "two members are taken out by hand": lambda: by_hand(count=2, rounds=3),
     "a door without a disk": lambda: bare(count=2, rounds=2),
     "a read after a confirmation": lambda: reader(count=2, rounds=2),
+    "a closing is handed on, and opened": lambda: handed(3, d1=(1,), d2=(1, 2, 3), d3=(2, 3)),
+    "one of two bodies is handed on": lambda: handed_on(count=2, rounds=2),
     "two foundings": lambda: founding(count=2, rounds=4),
 }
 
@@ -267,6 +287,19 @@
     patch.setattr(Control, "sure", lambda control, order, now: True)
 
 
+def spans(patch: Patch, versions: int) -> None:
+    patch.setattr("queenless.carrying.SPAN", versions)
+    patch.setattr("tests.control_door.SPAN", versions)
+
+
+def handed_for_ever(patch: Patch) -> None:
+    spans(patch, 1000)
+
+
+def handed_too_long(patch: Patch) -> None:
+    spans(patch, SPAN + 1)
+
+
 GONE, TAKEN = "r2 was confirmed and is gone", "r2 was confirmed and another body has its number"
 MENDS = [  # the case, and what is found: first of all, or first of what those who gave orders were told
     (copies_one_less, "three members, two orders", "version 2 is on 1 disks of 3", False),
@@ -281,6 +314,8 @@
     (answers_unsaved, "a member comes back with its disk", TAKEN, True),
     (undecided_left, "three members, two orders", TAKEN, True),
     (highest_digest, "three members, two orders", TAKEN, True),
+    (handed_for_ever, "a closing is handed on, and opened", "z1 was opened and is so no more", True),
+    (handed_too_long, "a closing is handed on, and opened", "z1 was opened and is so no more", True),
     (never_unsure, "a read after a confirmation", "a read shows r-1 after a newer one", True),
 ]
 
