Look once a tick at the duties that its beats ask for

Cause: each beat of a tick, and the renewal after them, worked out anew which duties the door wants: N + 2 looks a tick. Change: a tick looks once and hands the answer to its beats and to the renewal; so does an order, whose beats go to all. A test counts one look a tick.

--- a/queenless/core.py
+++ b/queenless/core.py
@@ -96,8 +96,9 @@
 
     def order(self, now: float, order: Order) -> list[Deed]:
         self.deeds = []
+        wants = self.wants(now)
         for ip in self.peers.others():
-            self.beat(now, ip)
+            self.beat(now, ip, wants)
         self.deeds += self.control.begin(now, order)
         self.look(now)
         return self.deeds
@@ -108,10 +109,11 @@
         self.deeds = []
         enough = now - self.fresh_at(now) < 2 * NEAR_BEAT
         before = self.duties.asking
-        anew = self.duties.asks(now, self.settled() and self.member()) != before
+        wants = self.wants(now)  # one look for all that this tick sends and renews
+        anew = wants != before
         for ip in self.peers.others():
             if anew or self.beats.due(now, ip, enough):
-                self.beat(now, ip)
+                self.beat(now, ip, wants)
         heard = any(self.peers.alive(now, ip) for ip in self.peers.others())
         lost = not heard or (self.first and not self.settled())
         rescued = lineage(self.control.register.version) > 0  # others may not know of it
@@ -119,7 +121,7 @@
             for ip in self.seeds:
                 known = ip == self.me.ip or ip in self.peers.core
                 if not known and now - self.beats.sent_at(ip) >= (NEAR_BEAT if lost else FAR_BEAT) - 0.01:
-                    self.beat(now, ip)
+                    self.beat(now, ip, wants)
         self.duties_on(now)
         if self.member():
             self.peers.note(now, self.me, self.ready)
@@ -148,8 +150,13 @@
             self.duties.granter.silent_until = max(self.duties.granter.silent_until, now + TERM)
         self.was_seated = seated
 
-    def beat(self, now: float, ip: str) -> None:
-        wants = self.duties.asks(now, self.settled() and self.member())
+    def wants(self, now: float) -> list[int]:
+        """The duties that beats which go out now ask for."""
+        return self.duties.asks(now, self.settled() and self.member())
+
+    def beat(self, now: float, ip: str, wants: list[int] | None = None) -> None:
+        """`wants`: the duties to ask for, where they are known for this moment."""
+        wants = self.wants(now) if wants is None else wants
         self.deeds.append(Send(ip, self.beats.beat(now, ip, self.ready and not self.duties.left, wants)))
 
     def mend(self, now: float) -> None:
--- a/swarm/duties.py
+++ b/swarm/duties.py
@@ -175,8 +175,8 @@
         return wants
 
     def renew(self, now: float) -> None:
-        """This door's own grants for what it asks for."""
-        for duty in self.asks(now, settled=True):
+        """This door's own grants for what it has asked for last."""
+        for duty in self.asking:
             if self.granter.ask(now, str(duty), self.me(), now):
                 self.granted(duty, self.peers.me.ip, now, self.peers.me.life)
 
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import pytest
+
 from swarm.duties import Duties, Granter
 from swarm.peers import TERM, About, Peers
 
+from .world import TICK, World
+
 ME, OTHER = ("d1", 1), ("d2", 1)
 
 
@@ -76,3 +80,23 @@
     assert duties.until(duty) == 0.0
     duties.granted(duty, "d2", 10.6, 2)
     assert duties.until(duty) > 11.0
+
+
+def test_a_tick_looks_once_at_what_its_beats_ask_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    world = World(8, 0)
+    world.run(4.0)
+    core, looks, wanted = world.doors["d1"].core, [], Duties.wanted
+
+    def counted(duties: Duties, now: float) -> list[int]:
+        looks.append(duties)
+        return wanted(duties, now)
+
+    monkeypatch.setattr(Duties, "wanted", counted)
+    assert core is not None
+    beats = 0
+    for _ in range(20):
+        world.now += TICK
+        looks.clear()
+        beats += sum(getattr(deed, "message", {}).get("k") == "beat" for deed in core.tick(world.now))
+        assert len(looks) == 1
+    assert beats >= 14
