Send a configuration's bytes again only once the first sending may have arrived

Cause: an accept went with the whole configuration to each member that had not answered, again each 0.25 s: 10.5 MB to 15 members are 1.3 s of a link, so up to six copies each were under way at once. Change: while the copies of a round may still be on a gigabit's link, members are asked again by the digest alone; one that lacks the bytes says so and gets them with the first asking after that time. Small ones go again each 0.25 s, as before. Tested on a link of 1 MB/s, 100 KB for four: 2 copies a member in 0.9 s instead of 4, with as many askings. Not played on real links. Ruled out: waiting longer with the whole accept, as a lost answer would then cost that wait.

--- a/queenless/orders.py
+++ b/queenless/orders.py
@@ -13,6 +13,7 @@
 from queenless.order import Done, Order
 
 AGAIN = 0.25  # seconds between sendings to a member that has not answered
+WIDTH = 100e6  # bytes a second of a door's link, of a gigabit: all copies of a configuration share it
 LONG = 0.7  # seconds after which a round that met another counts on no more answers: two syncs of a slow disk
 WAIT = 3.0  # seconds for an order; its sender moves on sooner, and sends it to any door again
 LOOK = 0.3  # seconds in which voices may settle what changes nothing, before that takes a round
@@ -41,6 +42,9 @@
     refused: set[str] = field(default_factory=set)
     holds: dict[str, list[bytes]] = field(default_factory=dict)  # digests that a member has the bytes of
     sent: dict[str, float] = field(default_factory=dict)
+    brought: dict[str, float] = field(
+        default_factory=dict
+    )  # when a member was sent the configuration's bytes
     words: dict[bytes, bytes] = field(default_factory=dict)  # configurations that came with promises
     target: State | None = None
     began: float = 0.0
@@ -210,7 +214,8 @@
         sets = current.target.sets() if current.target is not None else self.asked_sets(current)
         have = current.accepts if current.target is not None else current.promises
         asks = []
-        for ip in dict.fromkeys(member.ip for members in sets for member in members):
+        ips = dict.fromkeys(member.ip for members in sets for member in members)
+        for ip in ips:
             if ip in have or ip in current.refused or now - current.sent.get(ip, -1e9) < AGAIN:
                 continue
             current.sent[ip] = now
@@ -222,7 +227,11 @@
                 message |= {"k": "accept", "s": current.target.row()}
                 digest = current.target.digest
                 if digest != NO_WORD and digest not in current.holds.get(ip, ()):
-                    message["w"] = self.word(digest)
+                    word = self.word(digest)
+                    # while the bytes may be under way, a member is asked without them, and says that it lacks them
+                    under_way = len(word or b"") * len(ips) / WIDTH
+                    if now - current.brought.get(ip, -1e9) >= max(AGAIN, under_way):
+                        message["w"], current.brought[ip] = word, now
             asks.append(Ask(ip, message))
         return asks
 
@@ -292,7 +301,8 @@
         """A member has not the bytes that were believed to be there."""
         if self.round is not None and self.round.ballot == ballot:
             self.round.holds.pop(source, None)
-            self.round.sent.pop(source, None)
+            if source not in self.round.brought:  # else they may be under way, and go again in their time
+                self.round.sent.pop(source, None)
 
     def refused(
         self, now: float, source: str, ballot: Ballot, higher: Ballot, wait: float, brought: bool
--- a/tests/control_door.py
+++ b/tests/control_door.py
@@ -52,7 +52,13 @@
         if (old := orders.round) is not None:
             promises, accepts = dict(old.promises), dict(old.accepts)
             orders.round = replace(
-                old, promises=promises, accepts=accepts, holds=dict(old.holds), words=dict(old.words), sent={}
+                old,
+                promises=promises,
+                accepts=accepts,
+                holds=dict(old.holds),
+                words=dict(old.words),
+                sent={},
+                brought={},
             )
         new.members = Membership(0.0, new.peers, held, orders, self.first)
         new.records, new.deeds = dict(self.records), []
--- a/tests/test_carrying.py
+++ b/tests/test_carrying.py
@@ -159,3 +159,30 @@
         world.put(f"d{number - 5}", number)
         world.run(0.5)
     assert not handed and not world.breaches
+
+
+# --- bytes -------------------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("size", "times"), [(100, 4), (100_000, 2)])
+def test_a_configuration_is_not_sent_again_while_its_bytes_may_be_under_way(
+    size: int, times: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Two members of four stop as a change is brought to them: small bytes go again each 0.25 s; what takes a slow
+    link 0.4 s for all four goes again after 0.5 s, and until then the members are asked without it."""
+    monkeypatch.setattr("queenless.orders.WIDTH", 1e6)
+    world = settled_world()
+    accepts = noted(world, "accept")
+    token = world.put("d1", 6, world.random.randbytes(size).hex())
+    world.run(0.02)
+    for name in ("d2", "d4"):
+        world.freeze(name)
+    world.run(0.9)
+    for name in ("d2", "d4"):
+        assert len([m for _, to, m in accepts if to == name]) == 4
+        assert len([m for _, to, m in accepts if to == name and m.get("w")]) == times
+    for name in ("d2", "d4"):
+        world.thaw(name)
+    world.run(1.0)
+    assert world.calls[token].good and not world.breaches
+    assert all(world.doors[name].core.control.register.state.number == 6 for name in ("d2", "d4"))  # type: ignore[union-attr]
