--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -122,7 +122,7 @@
     world.run(3.0)
     took = sorted(world.calls[token].ended - world.calls[token].at for token in tokens)
     assert all(world.calls[token].good for token in tokens) and not world.breaches
-    assert took[-1] < 2.5  # of 6 s for an acknowledgement
+    assert took[-1] < 1.2  # of 6 s for an acknowledgement
 
 
 # --- 3: a second loss right after a repair ----------------------------------------------------------------------
