--- a/tests/cut_history.py
+++ b/tests/cut_history.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from comb.state import State
-from queenless.orders import Done, Order
+from queenless.order import Done, Order
 
 from .control_rules import unread
 
