Measure what a change of one and of ten routes costs: bytes, check, reading, memory

Need: the scale run priced a change as a whole configuration, as it was until now.

Change: the words part also packs, checks and tells a change apart at the desk's door, and makes and reads it at another, each in a process of its own; read is that of the packed bytes, as a door has it. The model prices a change by these: one route each. Found figures of before lack them: the words part is to be run before the page is made.

--- a/bench/scale/figures.py
+++ b/bench/scale/figures.py
@@ -39,5 +39,14 @@
 
 def peak(pid: int | str = "self") -> int:
     """The most memory that a process ever had, in bytes; not what it took over from who started it."""
+    return status(pid, "VmHWM")
+
+
+def resident() -> int:
+    """The memory that this process has now, in bytes."""
+    return status("self", "VmRSS")
+
+
+def status(pid: int | str, name: str) -> int:
     lines = Path(f"/proc/{pid}/status").read_text().splitlines()
-    return 1024 * next(int(line.split()[1]) for line in lines if line.startswith("VmHWM"))
+    return 1024 * next(int(line.split()[1]) for line in lines if line.startswith(name))
--- a/bench/scale/model.py
+++ b/bench/scale/model.py
@@ -201,13 +201,13 @@
         kb += REQUESTS / COUNTERS * each
         cpu += REQUESTS / COUNTERS * with_services(f, lambda p: price(p, "leases", "core lease")) * 1e-4
     peak = rest[0] + kb, rest[1] + cpu
-    # changes: the configuration whole, once to each door, by the core to its share; then read
+    # changes, each of one route: the difference once to each door, by the core to its share; then made and read
     a_second = CHANGES / DAY
-    packed = word["packed"] / 1000
+    packed = word["one_bytes"] / 1000
     share = 1 + (DOORS / CORE if disk == "core" else 0)
     change = (
         rest[0] + a_second * (packed * share + f.at_target(lambda p: extra(p, "change", role))),
-        rest[1] + 100 * a_second * (word["read_s"] + word["unpack_s"]),
+        rest[1] + 100 * a_second * (word["one_apply_s"] + word["one_read_s"]),
     )
     restarts = RESTARTS / DAY * f.at_target(lambda p: extra(p, "one restart", role))
     news = with_services(f, lambda p: extra(p, "news", role)) * (
@@ -235,10 +235,10 @@
     door, core = role(f, "door"), role(f, "core")
     word, full = f.words[max(f.words)], f.carry["a quota"]
     quiet = f.carry[min(name for name in f.carry if name.startswith("pace"))]
-    in_force = word["check_s"] + word["pack_s"] + word["unpack_s"] + word["read_s"]
+    in_force = word["one_check_s"] + word["one_delta_s"] + word["one_apply_s"] + word["one_read_s"]
     in_force += f.at_target(lambda p: waited(p, "change", "in force everywhere") or 10.0)
     # the door that proposes it brings it to each member, and each of these to its share of the doors
-    in_force += word["packed"] * (CORE + DOORS / CORE) / 1000 / LINK
+    in_force += word["one_bytes"] * (CORE + DOORS / CORE) / 1000 / LINK
     day = door["rest"][0] + (door["change"][0] - door["rest"][0]) + door["restarts"] + door["news"]
     return [
         ("control of a door, processor, at rest", 4.0, door["rest"][1], "% of a core"),
@@ -251,11 +251,11 @@
         ("the same, all of an ordinary day", 21.0, day, "KB/s"),
         ("the same at the peak", 21.0, door["peak"][0], "KB/s"),
         ("memory of a door", 256.0, door["memory"], "MB"),
-        ("the same while it reads a change", 256.0, door["memory"] + word["read_peak"] / 1e6, "MB"),
+        ("the same while it reads a change", 256.0, door["memory"] + word["one_peak"] / 1e6, "MB"),
         ("a change in force everywhere", 14.0, in_force, "s"),
         ("a configuration's way between doors", 8.39, word["packed"] / 1e6, "MB"),
         ("the same through the desk", 8.39, word["bytes"] / 1e6, "MB"),
-        ("17,000 changes a day, checked by one door", 100.0, 100 * CHANGES / DAY * word["check_s"], "% of a core"),
+        ("17,000 changes a day, checked by one door", 100.0, 100 * CHANGES / DAY * word["one_check_s"], "% of a core"),
         ("15 machines: one core member, at rest", 100.0, core["rest"][1], "% of the core that it can use"),
         ("the same, an ordinary day's changes, bytes out", LINK, core["change"][0], "KB/s of a link of 1 Gbit/s"),
         ("counters of tenants, at the peak", 100.0, role(f, "counter")["peak"][1], "% of the core that one can use"),
--- a/bench/scale/page.py
+++ b/bench/scale/page.py
@@ -100,6 +100,10 @@
         ("packed, MB", lambda w: w["packed"] / 1e6),
         ("check, s", lambda w: w["check_s"]), ("read, s", lambda w: w["read_s"]),
         ("memory held, MB", lambda w: w["held"] / 1e6), ("memory while reading, MB", lambda w: w["read_peak"] / 1e6),
+        ("a change of one route: bytes", lambda w: w["one_bytes"]), ("of ten", lambda w: w["ten_bytes"]),
+        ("the desk packs and checks it, s", lambda w: w["one_check_s"]),
+        ("a door makes and reads it, s", lambda w: w["one_apply_s"] + w["one_read_s"]),
+        ("memory meanwhile, MB", lambda w: w["one_peak"] / 1e6),
     ]  # fmt: skip
     parts: list[Row] = [
         ("the platform's list, MB", lambda p: p["list_bytes"] / 1e6),
--- a/bench/scale/program.py
+++ b/bench/scale/program.py
@@ -8,8 +8,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from comb.check import check
-from comb.word import read
+from comb.blocks import pack, unpack
+from comb.change import Checked, Held, take
+from comb.check import check, check_change
+from comb.delta import difference, follow
+from comb.word import digest, read
 from forage.fleet import Fleet
 from nectar.bounds import QuotaRule
 from nectar.counter import Counter
@@ -70,10 +73,43 @@
 
 
 def read_word(body: bytes) -> object:
-    """As each door reads a configuration; what it holds of it from then on."""
+    """The tables of a configuration, read from the whole text."""
     return read(body)
 
 
+def pack_word(body: bytes) -> bytes:
+    """As the door that takes the first configuration packs it."""
+    return pack(body)
+
+
+def unpack_word(packed: bytes) -> bytes:
+    return unpack(packed)
+
+
+def read_packed(packed: bytes, held: Held | None = None) -> Held:
+    """As each door reads a configuration: the first one, and one after what it holds."""
+    return take(packed, held)
+
+
+def check_next(body: bytes, held: Held) -> Checked:
+    """As the desk has a change of the configuration that its door holds packed and checked."""
+    return check_change(body, held)
+
+
+def delta_of(old: bytes, new: bytes) -> bytes:
+    """What goes to each door for a change, beside its state."""
+    return difference(old, new)
+
+
+def digest_of(body: bytes) -> bytes:
+    return digest(body)
+
+
+def apply_delta(packed: bytes, delta: bytes, digest: bytes) -> bytes:
+    """As each door makes the new configuration of what it holds."""
+    return follow(packed, [delta], digest)
+
+
 def parse_list(page: bytes) -> Listing:
     return parse([page], 0.0)
 
--- a/bench/scale/words.py
+++ b/bench/scale/words.py
@@ -1,4 +1,4 @@
-"""Configurations of 100 to 57,000 routes: bytes, and the time and memory to check and to read one."""
+"""Configurations of 100 to 57,000 routes: bytes, time and memory to check and to read one, and a change of it."""
 
 from __future__ import annotations
 
@@ -7,14 +7,22 @@
 import random
 import tempfile
 import time
-import zlib
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from typing import Any
 
-from bench.scale.figures import peak
-from bench.scale.program import check_word, read_word
+from bench.scale.figures import peak, resident
+from bench.scale.program import (
+    apply_delta,
+    check_next,
+    check_word,
+    delta_of,
+    digest_of,
+    pack_word,
+    read_packed,
+    unpack_word,
+)
 from bench.scale.world import weigh
 
 ROUTES, TENANTS, SERVICES = 57_000, 390_000, 2_300  # of the target: smaller ones keep its proportions
@@ -53,34 +61,78 @@
     return json.dumps({"versionNumber": f"r{number}", "resourceList": found}).encode()
 
 
+def altered(body: bytes, routes: int, changed: int) -> bytes:
+    """The next configuration, in which so many routes, spread over all, have another priority."""
+    document = json.loads(body)
+    document["versionNumber"] = "r2"
+    first = max(1, routes * SERVICES // ROUTES)
+    for n in range(changed):
+        document["resourceList"][first + n * routes // changed]["specification"]["priority"] = 9
+    return json.dumps(document).encode()
+
+
 def alone(path: str, verb: str) -> dict[str, float]:
     """One step with a body from a file, in a process of its own: its memory at the peak is the step's."""
     body = Path(path).read_bytes()
     before = peak()
-    steps: dict[str, Callable[[bytes], Any]] = {
-        "check": check_word, "read": read_word, "pack": lambda body: zlib.compress(body, 6),
-    }  # fmt: skip
+    steps: dict[str, Callable[[bytes], Any]] = {"check": check_word, "read": read_packed, "pack": pack_word}
     began = time.process_time()
     result = steps[verb](body)
     found = {f"{verb}_s": time.process_time() - began}
     found[f"{verb}_peak"] = peak() - before + len(body)
     if verb == "read":
-        found["held"] = weigh(result)
+        found["held"] = weigh(result.word)
     if verb == "pack":
         began = time.process_time()
-        zlib.decompress(result)
+        unpack_word(result)
         found |= {"unpack_s": time.process_time() - began, "packed": len(result)}
     return found
 
 
+def desk(path: str, routes: int) -> dict[str, float]:
+    """What a change costs the door that takes it: it packs, checks and tells apart; and the bytes for each other."""
+    body = (Path(path) / "word").read_bytes()
+    packed = pack_word(body)
+    held, found = read_packed(packed), dict[str, float]()
+    for changed, name in ((1, "one"), (10, "ten")):
+        new = altered(body, routes, changed)
+        began = time.process_time()
+        checked = check_next(new, held)
+        found[f"{name}_check_s"] = time.process_time() - began
+        began = time.process_time()
+        delta = delta_of(packed, checked.packed)
+        found |= {f"{name}_delta_s": time.process_time() - began, f"{name}_bytes": len(delta)}
+        (Path(path) / name).write_bytes(delta)
+        (Path(path) / f"{name} digest").write_bytes(digest_of(new))
+    (Path(path) / "packed").write_bytes(packed)
+    return found
+
+
+def door(path: str, name: str) -> dict[str, float]:
+    """What it costs each other door, in a process that holds the configuration before it."""
+    packed, delta, digest = [(Path(path) / of).read_bytes() for of in ("packed", name, f"{name} digest")]
+    held = read_packed(packed)
+    before, began = resident(), time.process_time()
+    new = apply_delta(packed, delta, digest)
+    between = time.process_time()
+    read_packed(new, held)
+    took = {f"{name}_apply_s": between - began, f"{name}_read_s": time.process_time() - between}
+    return {**took, f"{name}_peak": max(0, peak() - before)}
+
+
 def measure(routes: int) -> dict[str, float]:
     found: dict[str, float] = {"routes": routes}
     context = multiprocessing.get_context("spawn")
     with tempfile.TemporaryDirectory(prefix="scale-") as folder:
         path, body = Path(folder) / "word", configuration(routes)
         path.write_bytes(body)
+        (Path(folder) / "packed").write_bytes(pack_word(body))
         found["bytes"], found["one"] = len(body), len(json.dumps(json.loads(body)["resourceList"][-1]))
         with ProcessPoolExecutor(1, context, max_tasks_per_child=1) as pool:
             for verb in ("read", "check", "pack"):
-                found |= pool.submit(alone, str(path), verb).result()
+                of = str(path if verb != "read" else Path(folder) / "packed")
+                found |= pool.submit(alone, of, verb).result()
+            found |= pool.submit(desk, folder, routes).result()
+            for name in ("one", "ten"):
+                found |= pool.submit(door, folder, name).result()
     return found
