Hold blocks and what is read of them in lighter classes

Cause: four dataclasses kept 40 KB of generated code in each door; a small door had grown by 0.3 MB.

Change: NamedTuples, and a class with slots for the one that changes.

--- a/comb/blocks.py
+++ b/comb/blocks.py
@@ -10,7 +10,6 @@
 import struct
 import zlib
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 
 MARK = b'{"resourceKind"'  # begins a resource as the users' own tools write it
 LEAST = (
@@ -34,13 +33,13 @@
     code = "packed"
 
 
-@dataclass(slots=True)
 class Block:
     """A run of a body's bytes: `size` of them, packed, or not yet."""
 
-    size: int
-    packed: bytes | None = None
-    text: bytes | None = None
+    __slots__ = ("packed", "size", "text")
+
+    def __init__(self, size: int, packed: bytes | None = None, text: bytes | None = None) -> None:
+        self.size, self.packed, self.text = size, packed, text
 
     def unpacked(self) -> bytes:
         """Raises PackedError."""
--- a/comb/change.py
+++ b/comb/change.py
@@ -4,8 +4,8 @@
 
 import json
 from collections.abc import Iterator
-from dataclasses import dataclass, replace
-from typing import Any
+from dataclasses import replace
+from typing import Any, NamedTuple
 
 from comb.blocks import Block, PackedError, blocks_of, unpack
 from comb.word import (
@@ -36,8 +36,7 @@
     code = "irregular"
 
 
-@dataclass(slots=True, frozen=True)
-class Held:
+class Held(NamedTuple):
     """A configuration in use: its tables, and the packed bytes that they were read from; `apart`: each block but
     the first and the last was seen to be whole entries."""
 
@@ -46,16 +45,14 @@
     apart: bool
 
 
-@dataclass(slots=True, frozen=True)
-class Checked:
+class Checked(NamedTuple):
     """A configuration that may be taken: its number, and its bytes packed."""
 
     number: int
     packed: bytes
 
 
-@dataclass(slots=True)
-class Change:
+class Change(NamedTuple):
     """What differs between two configurations: `document` is the new one with no entries but those of blocks that
     changed, `was` are the entries of the old one's."""
 
