--- a/tests/test_change.py
+++ b/tests/test_change.py
@@ -213,6 +213,7 @@
     for tail in (
         "]}",
         ']}, "resourceList": [], "versionNumber": "r8"}',
+        ']}, "resourceList": [1], "versionNumber": "r8"}',
         '], "resourceList": [], "versionNumber": "r8"}',
     ):
         body = (head + middle + tail).encode()
@@ -276,3 +277,52 @@
             follow(base, [right], digest(two))
     with pytest.raises(DeltaError, match="too many"):
         follow(packed, [right] * (comb.delta.MOST_STEPS + 1), digest(two))
+
+
+def fault(what: str) -> tuple[list[Any], list[Any]]:
+    """Entries that are right, and the same with one that goes against an entry which did not change."""
+    right = entries(0)
+    right.insert(0, entry("serviceTable", "s5"))
+    right[6]["specification"]["weightedSplit"] = [
+        {"service": name, "shareWeight": weight} for name, weight in (("s0", 1), ("s5", 0))
+    ]
+    wrong = copy.deepcopy(right)
+    route, tenant = wrong[29], wrong[-9]
+    if what == "place":
+        route["specification"] |= {
+            "hostName": "h0.EXAMPLE",
+            "pathPrefix": right[7]["specification"]["pathPrefix"],
+        }
+    elif what == "key":
+        tenant["specification"]["accessKeys"] = ["k0"]
+    elif what in ("route", "tenant"):
+        (route if what == "route" else tenant)["metadata"]["name"] = f"{what[0]}0"
+    elif what == "service":
+        route["specification"]["service"] = "s9"
+        route["specification"].pop("weightedSplit", None)
+    else:  # a service goes that only routes which stay name, with a weight and without
+        wrong = [each for each in wrong if each["metadata"]["name"] != what]
+    return right, wrong
+
+
+@pytest.mark.parametrize("what", ["place", "key", "route", "tenant", "service", "s5", "s0"])
+def test_an_entry_that_goes_against_one_which_stays_is_refused(what: str) -> None:
+    right, wrong = fault(what)
+    held = take(pack(text(right)))
+    assert held.apart and verdict(text(right, "r8"), held) == 8
+    assert verdict(text(wrong, "r8"), held) == verdict(text(wrong, "r8")) != 8
+
+
+def test_entries_that_do_not_begin_as_usual_or_are_not_parted_are_not_passed_over() -> None:
+    body = text(entries(0))
+    held = take(pack(body))
+    first = body.replace(
+        b'List": [', b'List": [{ "resourceKind": "limits", "metadata": {}, "specification": 1}, '
+    )
+    assert verdict(first, held) == verdict(first) != 7
+    parts = body.split(b', {"resourceKind"')
+    for n in range(1, len(parts)):
+        unparted = b', {"resourceKind"'.join(
+            [*parts[: n - 1], parts[n - 1] + b' {"resourceKind"' + parts[n], *parts[n + 1 :]]
+        )
+        assert verdict(unparted, held) == verdict(unparted) != 7
