Keep the versions of tables and the sum of a door's own state until they change

A member summed all that it tells of itself for each beat that came, to see whether its sender knew it already; and each tick compared the 14 others' versions of all services with its own. Both hang on services, and seldom change: the mapping of versions is now replaced only with a table, the sum only with the state, and a member's word is compared once.

--- a/queenless/beats.py
+++ b/queenless/beats.py
@@ -33,6 +33,7 @@
         self.count = hash_of(peers.me.life) * APART
         # of the last beats, by number: when each was sent, and the sum of what was known then of whom it went to
         self.sent: dict[int, tuple[float, int]] = {}
+        self.summed: tuple[dict[str, Any], int] = ({}, 0)  # the state told last, and its sum
         self.first_sent: dict[str, float] = {}  # to whom a beat went that has never answered
 
     def state(self, now: float) -> dict[str, Any]:
@@ -61,6 +62,12 @@
     def sum_of(state: dict[str, Any]) -> int:
         return zlib.crc32(repr(sorted((k, sorted(v.items())) for k, v in state.items())).encode())
 
+    def own_sum(self, state: dict[str, Any]) -> int:
+        """The sum of this door's own state, worked out anew where that has changed."""
+        if state != self.summed[0]:
+            self.summed = state, self.sum_of(state)
+        return self.summed[1]
+
     def sent_at(self, ip: str) -> float:
         peer = self.peers.peers.get(ip)
         return peer.sent_at if peer is not None else self.first_sent.get(ip, -1e9)
@@ -133,7 +140,7 @@
             if granted:
                 echo["g"] = granted
         state = self.state(now)  # after the grants, which it tells of
-        if message["x"] != self.sum_of(state):
+        if message["x"] != self.own_sum(state):
             echo["z"] = state
         if message["c"] != self.peers.core_sum():
             echo["c"] = [member.row() for member in self.peers.core.values()]
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -63,6 +63,7 @@
         self.beats = Beats(self.peers, self.control, self.duties, self.news, now)
         self.ready = False
         self.polled_at, self.polling = -1e9, False
+        self.level: dict[str, tuple[dict[str, int], dict[str, int]]] = {}  # what each told, and was known, of news
         self.asked: dict[str, tuple[float, int]] = {}  # what was asked for, when, and how often
         self.was_seated = self.control.seated()
         self.members = self.control.state.members if self.control.state is not None else ()
@@ -168,8 +169,14 @@
             peer = self.peers.peers.get(ip)
             if peer is None or ip == self.me.ip:
                 continue
-            for service in self.news.newer(peer.news):
+            told, known = self.level.get(ip, (None, None))
+            if told is peer.news and known is self.news.versions():
+                continue
+            newer = self.news.newer(peer.news)
+            for service in newer:
                 self.ask_news(now, service, peer.news[service])
+            if not newer:
+                self.level[ip] = (peer.news, self.news.versions())
 
     def ask_news(self, now: float, service: str, version: int) -> None:
         has = self.peers.others_where(lambda peer: peer.news.get(service, 0) >= version)
--- a/waggle/news.py
+++ b/waggle/news.py
@@ -84,9 +84,13 @@
 
     def __init__(self) -> None:
         self.tables: dict[str, Table] = {}
+        self.known: dict[str, int] | None = None  # their versions, until one changes
 
     def versions(self) -> dict[str, int]:
-        return {service: table.version for service, table in self.tables.items()}
+        """The version of each table; a mapping that is replaced and never changed."""
+        if self.known is None:
+            self.known = {service: table.version for service, table in self.tables.items()}
+        return self.known
 
     def listed(self, now: float, wall_ms: int, found: dict[str, dict[str, Server]]) -> list[str]:
         """A list has come from the platform; the services with news.  Versions grow also where the holder of
@@ -103,6 +107,7 @@
             kept = {name: server if name in told else old[name] for name, server in servers.items()}
             self.tables[service] = Table(max(before + 1, wall_ms), kept, before, moved, gone)
             changed.append(service)
+            self.known = None
         return changed
 
     def pack(self, now: float, service: str) -> list[Any]:
@@ -134,7 +139,7 @@
             new.servers = {n: s for n, s in table.servers.items() if n in left} | new.servers
             if new.check() != check:
                 return False
-        self.tables[service] = new
+        self.tables[service], self.known = new, None
         return True
 
     def newer(self, told: dict[str, int]) -> list[str]:
