Tell the roster by what changed in it since the sum that the asker named

Cause: each restart changed the roster three times, and each time the whole went to every door.

A member now remembers the last 128 changes (never more rows than the whole has) and answers a sum that it remembers with the addresses gone and the rows new or changed; else, or where that is more than half, the whole. A door takes a change only on the very rows it was made from, and only if it comes to the sum named; else it forgets its sum and is told the whole. The sum adds up a 64-bit hash a row, so that one change costs one hash. A member makes its roster from the rows that were touched, and looks for silent ones no earlier than one can be.

Old and new doors side by side never share a sum, so these tell the whole at each beat meanwhile. Ruled out: XOR of CRCs, linear, so that two doors that swap readiness could leave it as it was.

--- a/queenless/beats.py
+++ b/queenless/beats.py
@@ -145,7 +145,10 @@
         if message["c"] != self.peers.core_sum():
             echo["c"] = [member.row() for member in self.peers.core.values()]
         if "s" in message and (seated or not self.peers.seated) and message["s"] != self.peers.roster_sum:
-            echo["s"] = self.peers.roster
+            if (change := self.peers.directory.since(message["s"])) is not None:
+                echo["e"] = change
+            else:
+                echo["s"] = self.peers.roster
         return echo
 
     def may_grant(self, core_sum: int) -> bool:
@@ -180,4 +183,6 @@
             self.duties.granted(duty, about.ip, asked_at, about.life)
         if "s" in message and message["s"] != self.peers.roster:
             self.peers.take_roster(message["s"])
+        if "e" in message:
+            self.peers.follow_roster(message["e"])
         return peer
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -63,7 +63,9 @@
         self.beats = Beats(self.peers, self.control, self.duties, self.news, now)
         self.ready = False
         self.polled_at, self.polling = -1e9, False
-        self.level: dict[str, tuple[dict[str, int], dict[str, int]]] = {}  # what each told, and was known, of news
+        self.level: dict[
+            str, tuple[dict[str, int], dict[str, int]]
+        ] = {}  # what each told, and was known, of news
         self.asked: dict[str, tuple[float, int]] = {}  # what was asked for, when, and how often
         self.was_seated = self.control.seated()
         self.members = self.control.state.members if self.control.state is not None else ()
--- a/swarm/peers.py
+++ b/swarm/peers.py
@@ -8,11 +8,13 @@
 from typing import Any
 
 from comb.state import Member
+from swarm.roster import Roster
 
 TERM = 2.0  # seconds of a grant of a duty: five beats of the core
 SILENT = 1.3  # seconds without an answer after which a door counts as away: three beats lost and a round trip
 GONE = 1.5  # seconds after which it leaves the roster, as the beats inside a region come,
 FAR_GONE = 6.0  # and as those between regions do
+EARLY = 0.001  # seconds by which the roster is looked at before one could leave it: sums of times are rounded
 
 
 @dataclass(slots=True, frozen=True)
@@ -67,9 +69,11 @@
         self.near: list[str] | None = None  # the others of the core in their order, and the core's sum, until
         self.sum: int | None = None  # either changes
         self.peers: dict[str, Peer] = {}
-        self.rows: dict[str, Row] = {}  # a core door's own roster, from the beats it gets
-        self.roster: list[list[Any]] = []  # as last heard or made: about, ready
-        self.roster_sum = 0
+        self.rows: dict[str, Row] = {}  # a core door's own roster, from the beats it gets,
+        self.touched: set[str] = set()  # whose rows may have changed since it was made,
+        self.look_at = -1e9  # and before when none can have been silent for too long
+        self.directory = Roster()  # as last heard or made
+        self.made = False  # it was made here, of all rows but those that were touched since
         self.most_doors = (
             0  # ever in a roster, here or at a door that told: what doors share evenly goes by it
         )
@@ -185,24 +189,62 @@
         peer = self.peers.get(ip)
         return peer.heard_at if peer is not None else -1e9
 
+    @property
+    def roster(self) -> list[list[Any]]:
+        """Rows of the doors there are: about, ready.  The list is replaced and never changed."""
+        return self.directory.rows
+
+    @property
+    def roster_sum(self) -> int:
+        return self.directory.sum
+
     def note(self, now: float, about: About, ready: bool) -> None:
         """A beat has come: a row of the roster."""
+        known = self.rows.get(about.ip)
+        if known is None or known.ready != ready or known.about != about:
+            self.touched.add(about.ip)
+            self.look_at = min(self.look_at, now + self.patience(about) - EARLY)
         self.rows[about.ip] = Row(about, ready, now)
 
+    def patience(self, about: About) -> float:
+        """Seconds of silence after which a door leaves the roster."""
+        return GONE if about.region == self.me.region or about.disk else FAR_GONE
+
+    def forget(self, now: float) -> None:
+        """Rows of doors that were silent for too long go; until the first that could be next, none is looked at."""
+        if now <= self.look_at:
+            return
+        gone = [ip for ip, row in self.rows.items() if now - row.heard_at > self.patience(row.about)]
+        for ip in gone:
+            del self.rows[ip]
+        self.touched.update(gone)
+        ends = (row.heard_at + self.patience(row.about) for row in self.rows.values())
+        self.look_at = min(ends, default=now) - EARLY
+
     def make_roster(self, now: float) -> None:
-        """The roster of those heard of late, in a settled order."""
-        for ip, row in list(self.rows.items()):
-            near = row.about.region == self.me.region or row.about.disk
-            if now - row.heard_at > (GONE if near else FAR_GONE):
-                del self.rows[ip]
-        rows = [[*row.about.row(), row.ready] for _, row in sorted(self.rows.items())]
-        if rows != self.roster:
-            self.take_roster(rows)
+        """The roster of those heard of late."""
+        self.forget(now)
+        if not self.made:
+            self.touched, self.made = set(self.rows) | {row[0] for row in self.roster}, True
+        if not self.touched:
+            return
+        rows = {ip: self.rows.get(ip) for ip in sorted(self.touched)}
+        self.touched = set()
+        gone = [ip for ip, row in rows.items() if row is None]
+        self.directory.change(gone, [[*row.about.row(), row.ready] for row in rows.values() if row])
+        self.most_doors = max(self.most_doors, len(self.roster))
 
     def take_roster(self, rows: list[list[Any]]) -> None:
-        self.roster = rows
+        """The whole roster, as a core door told it."""
+        self.directory.take(rows)
+        self.made = False
         self.most_doors = max(self.most_doors, len(rows))
-        self.roster_sum = zlib.crc32(str(rows).encode())
+
+    def follow_roster(self, change: list[Any]) -> None:
+        """What changed in the roster, as a core door told it."""
+        self.directory.follow(change)
+        self.made = False
+        self.most_doors = max(self.most_doors, len(self.roster))
 
     def named(self, ip: str) -> list[About]:
         """What is known of who is at an address."""
--- /dev/null
+++ b/swarm/roster.py
@@ -0,0 +1,113 @@
+"""The roster: the doors that clients may be sent to, in a settled order, its sum, and what changed since a sum."""
+
+from __future__ import annotations
+
+import hashlib
+from bisect import bisect_left
+from collections import deque
+from collections.abc import Sequence
+from typing import Any
+
+Row = list[Any]  # address, zone, region, disk, life, ready
+Change = tuple[
+    int, int, list[str], list[Row]
+]  # the sum before, the sum after, addresses gone, rows new or changed
+
+KEPT = 128  # changes that are remembered: more than members see in the six seconds until a far door leaves
+WRAP = 1 << 64
+
+
+def sum_of(rows: Sequence[Row]) -> int:
+    """What two doors compare to see whether they hold the same rows.  Rows add up, so that one row's change costs one
+    row's hash; the hash is of 64 bits and not linear, so that no two small changes undo each other (Bellare and
+    Micciancio 1997, AdHash).  No rows: 0."""
+    hashes = (hashlib.blake2b(repr(row).encode(), digest_size=8).digest() for row in rows)
+    return sum(int.from_bytes(each, "big") for each in hashes) % WRAP
+
+
+def place(rows: Sequence[Row], ip: str) -> tuple[int, bool]:
+    """Where a door's row is, or would be, and whether it is there."""
+    at = bisect_left(rows, ip, key=lambda row: row[0])
+    return at, at < len(rows) and rows[at][0] == ip
+
+
+class Roster:
+    """`rows` is in the order of addresses; it is replaced and never changed, as many hold it."""
+
+    def __init__(self) -> None:
+        self.rows: list[Row] = []
+        self.sum = 0
+        self.changes: deque[tuple[int, list[str]]] = deque()  # the sum before each, and whose rows it changed
+        self.told: dict[
+            int, Change | None
+        ] = {}  # what changed since a sum, as worked out since the last change
+
+    def take(self, rows: list[Row]) -> None:
+        """The whole, as another door told it or as it was made anew; what changed before is forgotten."""
+        self.rows, self.sum = rows, sum_of(rows)
+        self.changes.clear()
+        self.told.clear()
+
+    def change(self, gone: Sequence[str], changed: Sequence[Row]) -> None:
+        """Bring it up to date, and remember what changed; what is as told already is no change."""
+        touched: list[str] = []
+        rows, total = self.applied(gone, changed, touched)
+        if not touched:
+            return
+        before, self.rows, self.sum = self.sum, rows, total
+        self.changes.append((before, touched))
+        self.told.clear()
+        while len(self.changes) > KEPT or sum(len(ips) for _, ips in self.changes) > len(rows):
+            self.changes.popleft()
+
+    def applied(
+        self, gone: Sequence[str], changed: Sequence[Row], touched: list[str]
+    ) -> tuple[list[Row], int]:
+        """The rows and the sum that changes make; `touched` takes the addresses of those that change something."""
+        rows, total = list(self.rows), self.sum
+        for ip in gone:
+            at, there = place(rows, ip)
+            if there:
+                total -= sum_of((rows.pop(at),))
+                touched.append(ip)
+        for row in changed:
+            at, there = place(rows, row[0])
+            if there and rows[at] == row:
+                continue
+            total += sum_of((row,)) - (sum_of((rows[at],)) if there else 0)
+            rows[at : at + there] = [row]
+            touched.append(row[0])
+        return rows, total % WRAP
+
+    def since(self, known: int) -> Change | None:
+        """What changed since the sum that a door named; none where that is not remembered, or the whole is less."""
+        if known not in self.told:
+            if len(self.told) > KEPT:  # sums that no door should name
+                self.told.clear()
+            self.told[known] = self.worked_out(known)
+        return self.told[known]
+
+    def worked_out(self, known: int) -> Change | None:
+        sums = [before for before, _ in self.changes]
+        if not known or known not in sums:  # 0: it holds nothing, or not what it thought
+            return None
+        touched = {ip for _, ips in list(self.changes)[sums.index(known) :] for ip in ips}
+        if 2 * len(touched) > len(self.rows):
+            return None
+        found = {ip: place(self.rows, ip) for ip in sorted(touched)}
+        gone = [ip for ip, (_, there) in found.items() if not there]
+        return known, self.sum, gone, [self.rows[at] for at, there in found.values() if there]
+
+    def follow(self, change: Sequence[Any]) -> None:
+        """Take what another door told to have changed.  It counts only on the very rows that it was made from; where
+        it does not come to the sum that it should, this door's sum is forgotten, so that it is told the whole."""
+        before, after, gone, changed = change
+        if before != self.sum or before == 0:
+            return  # late, or told twice
+        rows, total = self.applied(gone, changed, [])
+        if total == after:
+            self.rows, self.sum = rows, total
+        else:
+            self.sum = 0
+        self.changes.clear()
+        self.told.clear()
--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,174 @@
+"""The roster told by what changed: a door comes to the member's rows whatever is lost, late, doubled or skipped."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+
+from queenless.core import Core, Start
+from queenless.deeds import Deed, Save, Send
+from swarm.peers import FAR_GONE, GONE, About, Peers
+from swarm.roster import KEPT, Roster, Row, sum_of
+
+MEMBER, DOOR = "10.0.0.1", "10.0.0.2"
+
+
+def about(n: int, life: int = 1) -> About:
+    return About(f"10.1.{n >> 8}.{n & 255}", f"zone-{n % 4}", "west" if n % 2 else "east", 0, life)
+
+
+def row(n: int, ready: bool = True, life: int = 1) -> Row:
+    return [*about(n, life).row(), ready]
+
+
+class Pair:
+    """The only member of a core and a door that asks it; what they send may be lost, late or come twice."""
+
+    def __init__(self, seed: int, lost: float = 0.0) -> None:
+        self.random, self.lost, self.now = random.Random(seed), lost, 100.0
+        self.way: list[tuple[float, str, str, dict[str, Any]]] = []
+        self.told: list[str] = []  # how the roster came: s whole, e by what changed
+        self.were: list[list[Row]] = [[]]  # the member's rosters
+        self.cores: dict[str, Core] = {}
+        for ip, disk in ((MEMBER, 7), (DOOR, 0)):
+            self.start(ip, disk, first=True)
+        self.run(4.0)
+        assert self.cores[MEMBER].member()
+
+    def start(self, ip: str, disk: int, first: bool) -> None:
+        records = self.records if not first and disk else {}
+        self.records: dict[str, bytes] = records
+        start = Start(About(ip, "zone-0", "east", disk, int(self.now * 1000)), [MEMBER], first, dict(records))
+        self.cores[ip] = Core(self.now, start, 0.2, lambda tenant: 1.0)
+
+    def do(self, ip: str, deeds: list[Deed]) -> None:
+        for deed in deeds:
+            if isinstance(deed, Send) and deed.to in self.cores:
+                self.told += [how for how in "se" if deed.message["k"] == "echo" and how in deed.message]
+                for _ in range(1 + (self.random.random() < self.lost)):
+                    if self.random.random() >= self.lost:
+                        late = self.random.choice((0.001, 0.02, 0.9)) if self.lost else 0.001
+                        self.way.append((self.now + late, ip, deed.to, deed.message))
+            elif isinstance(deed, Save):
+                self.records.update({name: body for name, body in deed.records.items() if body is not None})
+                self.do(ip, self.cores[ip].saved(self.now, deed.serial, True))
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds * 20)):
+            self.now += 0.05
+            for ip, core in self.cores.items():
+                self.do(ip, core.tick(self.now))
+            self.were.append(self.cores[MEMBER].peers.roster)
+            while due := [each for each in self.way if each[0] <= self.now]:
+                self.way.remove(due[0])
+                _, source, to, message = due[0]
+                self.do(to, self.cores[to].heard(self.now, source, message))
+
+    def note(self, *rows: Row) -> None:
+        for *who, ready in rows:
+            self.cores[MEMBER].peers.note(self.now, About(*who), ready)
+
+    def same(self) -> bool:
+        one, other = (self.cores[ip].peers for ip in (MEMBER, DOOR))
+        return one.roster == other.roster and one.roster_sum == other.roster_sum == sum_of(one.roster)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_door_holds_only_rosters_that_were_and_comes_to_the_last(seed: int) -> None:
+    pair, chance = Pair(seed, lost=0.3), random.Random(seed)
+    doors = {n: row(n) for n in range(60)}
+    for step in range(300):
+        for n in chance.sample(range(60), 40 if step % 50 == 0 else chance.choice((0, 0, 1, 2))):
+            doors[n] = row(n, chance.random() < 0.7, chance.randrange(3))
+        for n in chance.sample(range(60), chance.choice((0, 0, 0, 0, 1))):
+            doors.pop(n, None)
+        pair.note(*doors.values())
+        pair.run(0.05)
+        assert pair.cores[DOOR].peers.roster in pair.were
+    assert pair.told.count("e") > 5 and pair.told.count("s") > 1
+    pair.lost, pair.way = 0.0, []
+    for _ in range(round(FAR_GONE * 20) + 20):  # and what is left comes as it should, who is gone has left
+        pair.note(*doors.values())
+        pair.run(0.05)
+    assert pair.same() and len(pair.cores[DOOR].peers.roster) == len(doors) + 2
+
+
+def test_one_change_among_many_doors_travels_alone() -> None:
+    pair = Pair(1)
+    for step in range(40):
+        pair.note(*(row(n, ready=n != 7 or step < 20) for n in range(200)))
+        if step == 15:
+            pair.told.clear()
+        pair.run(0.1)
+    assert pair.same() and pair.told == ["e"]
+
+
+def test_a_member_that_restarted_tells_the_whole() -> None:
+    pair = Pair(1)
+    for step in range(60):
+        pair.note(*(row(n) for n in range(50)))
+        pair.run(0.05)
+        if step == 20:
+            assert pair.same()
+            pair.told.clear()
+            pair.start(MEMBER, 7, first=False)
+    assert pair.same() and pair.told[0] == "s"
+
+
+def test_a_door_that_skipped_more_than_is_remembered_is_told_the_whole() -> None:
+    roster = Roster()
+    roster.change([], [row(n) for n in range(300)])
+    first = roster.sum
+    for n in range(KEPT):
+        roster.change([], [row(n % 100, ready=False, life=n)])
+    assert roster.since(first) is not None
+    roster.change([], [row(200, ready=False)])
+    assert roster.since(first) is None and roster.since(12345) is None
+    assert len(roster.changes) == KEPT
+    for n in range(3):  # and never more rows than the whole has
+        roster.change([], [row(m, life=100 + n) for m in range(0, 300, 2)])
+    assert sum(len(ips) for _, ips in roster.changes) <= 300
+
+
+def test_a_change_that_does_not_come_to_its_sum_is_not_taken_and_the_whole_is_asked_for() -> None:
+    member, door = Roster(), Roster()
+    member.change([], [row(n) for n in range(9)])
+    door.take(member.rows)
+    before = member.rows
+    member.change([about(3).ip], [row(1, ready=False)])
+    change = member.since(door.sum)
+    assert change is not None
+    door.follow([change[0], change[1], change[2], []])
+    assert door.rows == before and door.sum == 0
+    assert member.since(door.sum) is None  # so that it is told the whole
+    door.take(member.rows)
+    door.follow(change)  # late: of rows that it holds no more
+    assert door.rows == member.rows and door.sum == member.sum
+
+
+def test_a_sum_goes_by_rows_and_not_by_how_they_came() -> None:
+    rows = sorted(row(n) for n in range(20))
+    grown = Roster()
+    for each in random.Random(1).sample(rows, 20):
+        grown.change([], [each])
+    assert grown.rows == rows and grown.sum == sum_of(rows)
+    swapped = [row(0, ready=False), row(1), *rows[2:]], [row(0), row(1, ready=False), *rows[2:]]
+    assert sum_of(swapped[0]) != sum_of(swapped[1])
+    grown.change([each[0] for each in rows], [])
+    assert grown.rows == [] and grown.sum == 0
+
+
+def test_rows_go_after_as_long_a_silence_as_when_all_were_looked_at_each_time() -> None:
+    peers, chance = Peers(About(MEMBER, "zone-0", "east", 7, 1), 0.0), random.Random(3)
+    heard: dict[str, tuple[float, About]] = {}
+    for step in range(1, 2000):
+        now = step * 0.05
+        for n in chance.sample(range(30), chance.choice((0, 1, 5))):
+            heard[about(n).ip] = now, about(n)
+            peers.note(now, about(n), True)
+        peers.make_roster(now)
+        gone = {ip for ip, (at, a) in heard.items() if now - at > (GONE if a.region == "east" else FAR_GONE)}
+        heard = {ip: of for ip, of in heard.items() if ip not in gone}
+        assert [each[0] for each in peers.roster] == sorted(heard)
