--- a/bench/scale/phases.py
+++ b/bench/scale/phases.py
@@ -4,12 +4,15 @@
 
 import dataclasses
 import gc
+import multiprocessing
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from multiprocessing.connection import Connection
 from typing import Any
 
+from bench.scale.figures import peak
 from bench.scale.program import TICK, Hollow, homes
 from bench.scale.world import CORE, REGIONS, ZONES, Kind, Meter, World, weigh
 
@@ -307,31 +310,53 @@
     "peak",
     "lease",
 )
-FEW = (
-    "rest",
-    "news",
-    "change",
-    "one",
-    "zone",
-    "peak",
-)  # of the largest fleets, whose every second takes half a minute
+JOBS = 3  # processes of one fleet at once
+
+
+def figures(here: Play, name: str) -> dict[str, Any]:
+    """What a phase, or two that belong together, gives on a world that has settled."""
+    done = len(here.phases)
+    getattr(here, name)()
+    return {phase.name: dataclasses.asdict(phase) for phase in here.phases[done:]}
+
+
+def apart(here: Play, names: Sequence[str], jobs: int) -> dict[str, Any]:
+    """Each phase from the same settled state, in a copy of this process: so many at once, the first ones first."""
+    context, found = multiprocessing.get_context("fork"), {}
+    running: list[tuple[Any, Connection]] = []
+
+    def copy(name: str, end: Connection) -> None:
+        end.send(figures(here, name))
+        end.close()
+
+    for name in [*names, *[None] * jobs]:
+        if len(running) == jobs or (name is None and running):
+            process, end = running.pop(0)
+            found.update(end.recv())  # EOFError: it ended without figures
+            process.join()
+        if name is not None:
+            ours, theirs = context.Pipe(duplex=False)
+            process = context.Process(target=copy, args=(name, theirs))
+            process.start()
+            theirs.close()
+            running.append((process, ours))
+    return found
 
 
 def play(
-    doors: int, services: int = 20, servers: int = 180, names: tuple[str, ...] = PHASES, core: int = CORE,
-    zones: int = ZONES, regions: int = REGIONS,
+    doors: int, services: int = 20, servers: int = 180, names: Sequence[str] = PHASES, core: int = CORE,
+    zones: int = ZONES, regions: int = REGIONS, jobs: int = 1,
 ) -> dict[str, Any]:  # fmt: skip
-    """The figures of one size, as they are kept."""
-    began = time.process_time()
+    """The figures of one size, as they are kept; each phase from the state that the start has settled to."""
+    began = time.monotonic()
     gc.disable()  # or one door's call pays for looking through the memory of all
     here = Play(doors, services, servers, core, zones, regions)
-    for name in names:
-        getattr(here, name)()
-    gc.enable()
+    up = time.monotonic() - began
     one = {role: ip for ip, role in here.roles().items()}
     held = {role: weigh(here.world.doors[ip].core) for role, ip in one.items()}
+    phases = apart(here, names, jobs)
+    gc.enable()
     return {
-        "doors": doors, "services": services, "servers": servers,
-        "phases": {phase.name: dataclasses.asdict(phase) for phase in here.phases},
-        "held": held, "started": here.started, "seconds": time.process_time() - began,
+        "doors": doors, "services": services, "servers": servers, "phases": phases,
+        "held": held, "started": here.started, "up_s": up, "seconds": time.monotonic() - began, "memory": peak(),
     }  # fmt: skip
