Look once for the words of who holds duties, and at who was heard before at who is known

At each tick a member went through the core for each of its nine duties, and for each beat it looked up since when each member is known, by a hash of its row, though one that was heard lately cannot be silent. Same answers.

--- a/queenless/membership.py
+++ b/queenless/membership.py
@@ -91,7 +91,13 @@
     def silent(self, now: float, state: State, long: float = DEAD) -> list[Member]:
         """Members that this door has not heard for so long."""
         me = self.peers.me.ip
-        return [member for member in state.members if member.ip != me and now - self.heard_at(member) > long]
+        return [
+            member
+            for member in state.members
+            if member.ip != me
+            and now - self.peers.heard_at(member.ip) > long  # most were heard, and this is the cheaper look
+            and now - self.heard_at(member) > long
+        ]
 
     def heard_at(self, member: Member) -> float:
         """When a member was last heard, or came to be known."""
--- a/swarm/duties.py
+++ b/swarm/duties.py
@@ -117,17 +117,20 @@
         hold = self.holds.get(duty)
         return hold.until(self.peers.core) if hold is not None else 0.0
 
-    def holder(self, now: float, duty: int) -> str | None:
+    def words(self, now: float) -> list[dict[str, str]]:
+        """What those of the core that answer say of who holds what."""
+        peers = ((ip, self.peers.peers.get(ip)) for ip in self.peers.core)
+        return [peer.holders for ip, peer in peers if peer is not None and self.peers.alive(now, ip)]
+
+    def holder(self, now: float, duty: int, words: list[dict[str, str]] | None = None) -> str | None:
         """Who holds a duty, as the core tells; the one of whom most say so."""
         if self.until(duty) > now:
             return self.peers.me.ip
         says: dict[str, int] = {}
-        for ip in self.peers.core:
-            peer = self.peers.peers.get(ip)
-            if peer is not None and self.peers.alive(now, ip):
-                who = peer.holders.get(str(duty))
-                if who is not None and who != self.peers.me.ip:
-                    says[who] = says.get(who, 0) + 1
+        for holders in self.words(now) if words is None else words:
+            who = holders.get(str(duty))
+            if who is not None and who != self.peers.me.ip:
+                says[who] = says.get(who, 0) + 1
         return max(says, key=lambda who: (says[who], who)) if says else None
 
     def told(self, now: float) -> dict[str, str]:
@@ -143,9 +146,9 @@
             return []
         alive = [ip for ip in self.peers.core if self.may_hold(now, ip)]
         enough = len(alive) > len(self.peers.core) // 2  # with fewer, who is first in line is not known
-        found = []
+        found, words = [], self.words(now)
         for duty in range(self.count):
-            holder = self.holder(now, duty)
+            holder = self.holder(now, duty, words)
             if holder == self.peers.me.ip:
                 found.append(duty)
                 continue
