--- a/bench/scale/cli.py
+++ b/bench/scale/cli.py
@@ -5,6 +5,7 @@
 import argparse
 import json
 import multiprocessing
+import os
 import subprocess
 import time
 from collections.abc import Callable, Sequence
@@ -127,7 +128,7 @@
         except Exception as error:  # whatever it died of, or a process that was killed
             failed.append(f"{name}: {error!r}")
             return
-        keep(made[0], source, made[1])
+        keep(made[0], {**source, "load": f"{os.getloadavg()[1]:.0f}"}, made[1])
         print(f"{time.monotonic() - began:6.0f} s  {made[0]}", flush=True)
 
     context = multiprocessing.get_context("spawn")
--- a/bench/scale/page.py
+++ b/bench/scale/page.py
@@ -13,6 +13,7 @@
 
 MARK = "<!-- made by bench/scale.py: {} -->"
 END = "<!-- end -->"
+REPEATS = 0.1  # within which the power of a second run is to come to the first's
 TURNED, SETTLED = "most that turn keys away", "settled after the start"
 
 
@@ -83,7 +84,10 @@
     ]  # fmt: skip
     sizes = sorted(f.fleet)
     head = ["by doors (20 services)", *(f"{size:,}" for size in sizes), "power", "second run"]
-    return table(head, grown(sizes, [f.fleet[size] for size in sizes], rows, 3))
+    body = grown(sizes, [f.fleet[size] for size in sizes], rows, 3)
+    apart = [row[0] for row in body if len(row) == len(head) and float(row[-1]) > REPEATS]
+    said = f"but for: {'; '.join(apart)}" if apart else "in all rows"
+    return f"{table(head, body)}\n\nA second run repeats the power within {REPEATS:g} {said}."
 
 
 def others(f: Figures) -> str:
