Name the reader of the instance list by the field's words, before it is mended

Need: hive/platform.py is the room that the incident begins in, and its names hid a read timeout, a backoff and a client. No behaviour changes.

--- a/hive/door.py
+++ b/hive/door.py
@@ -21,9 +21,9 @@
 from forage.gate import Forager, Tick
 from hive.desk import Desk, Settled
 from hive.front import Carrier, Front
+from hive.instance_list import InstanceListClient, InstanceListError
 from hive.log import log
 from hive.mesh import Mesh
-from hive.platform import Platform, PlatformError
 from hive.servers import Servers
 from hive.settings import Settings
 from ivymux.config import Address, parse_address
@@ -70,7 +70,7 @@
         self.reported: Counter[str] = Counter()
         self.reported_at = 0.0
         self.core_ticked = self.fresh_at = -1e9
-        self.platform = Platform(settings.platform, settings.platform_rate)
+        self.platform = InstanceListClient(settings.platform, settings.platform_rate)
         self.tasks: set[asyncio.Task[Any]] = set()
         most = settings.descriptors - OTHER_FILES
         fleet = Fleet(settings.zone, settings.region, settings.zones, random.Random(self.life))
@@ -189,7 +189,7 @@
         self.core.seeds = list(settings.seeds)
         if (settings.platform, settings.platform_rate) != (old.platform, old.platform_rate):
             self.platform.close()
-            self.platform = Platform(settings.platform, settings.platform_rate)
+            self.platform = InstanceListClient(settings.platform, settings.platform_rate)
         log.say("hive", "uses new settings", seeds=",".join(settings.seeds))
 
     def report(self, now: float) -> None:
@@ -322,9 +322,9 @@
     async def poll(self) -> None:
         found = None
         try:
-            pages = await self.platform.pages()
+            pages = await self.platform.read_pages()
             found = parse(pages, self.loop.time())
-        except (PlatformError, ValueError) as error:
+        except (InstanceListError, ValueError) as error:
             log.say("waggle", "could not read the list", error=error)
         self.carry_out(self.core.listed(self.loop.time(), int(time.time() * 1000), found))
 
--- /dev/null
+++ b/hive/instance_list.py
@@ -0,0 +1,140 @@
+"""Client of the platform's instance list: reads all pages over one kept connection, within a time limit."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Awaitable, Callable
+from urllib.parse import quote
+
+import httptools
+
+from ivymux.config import Address
+
+READ_TIMEOUT = (
+    1.5  # seconds for the whole list: half of the shortest time in which nodes must hear of a server's end
+)
+MAX_PAUSE = READ_TIMEOUT / 4  # seconds between two tries of a page, however few calls the platform accepts
+MAX_PAGES = 64
+MAX_PAGE_BYTES = 4 << 20
+READ_SIZE = 1 << 16
+HTTP_OK = 200
+HTTP_TOO_MANY_REQUESTS = 429
+
+
+class InstanceListError(Exception):
+    """The list could not be read; the message names the step and the peer."""
+
+    code = "platform"
+
+
+class StatusError(InstanceListError):
+    """The platform answered with a status other than 200."""
+
+    def __init__(self, path: str, status: int) -> None:
+        super().__init__(f"GET {path}: {status}")
+        self.status = status
+
+
+class ResponseBody:
+    """Collects the body of one response; the callbacks are httptools'."""
+
+    def __init__(self) -> None:
+        self.data = bytearray()
+        self.complete = False
+
+    def on_body(self, data: bytes) -> None:
+        self.data += data
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+
+
+async def http_get(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, host: str, path: str) -> bytes:
+    """The body of `GET path`.  Raises StatusError, InstanceListError or OSError."""
+    writer.write(f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+    body = ResponseBody()
+    parser = httptools.HttpResponseParser(body)
+    while not body.complete:
+        data = await reader.read(READ_SIZE)
+        if not data or len(body.data) > MAX_PAGE_BYTES:
+            raise InstanceListError(f"GET {path}: the answer broke off")
+        try:
+            parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            raise InstanceListError(f"GET {path}: {error}") from None
+    if parser.get_status_code() != HTTP_OK:
+        raise StatusError(path, parser.get_status_code())
+    return bytes(body.data)
+
+
+class InstanceListClient:
+    """Keeps one connection while it serves.
+
+    The platform accepts `rate` calls a second from all nodes together: a page refused for that (429) is asked for
+    again after the time that one call takes of the rate, doubled with each refusal.
+    """
+
+    def __init__(
+        self, address: Address, rate: float, pause: Callable[[float], Awaitable[None]] = asyncio.sleep
+    ) -> None:
+        self.address = address
+        self.rate = rate
+        self.pause = pause
+        self.streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def read_pages(self) -> list[bytes]:
+        """Every page of the list.  Raises InstanceListError."""
+        try:
+            async with asyncio.timeout(READ_TIMEOUT):
+                return await self._walk()
+        except (OSError, TimeoutError, InstanceListError) as error:
+            self.close()
+            text = str(error) or type(error).__name__
+            raise InstanceListError(f"list of servers, {self.address.host}: {text}") from None
+
+    async def _walk(self) -> list[bytes]:
+        pages: list[bytes] = []
+        path, waited, refusals = "/instances", 0.0, 0
+        while len(pages) < MAX_PAGES:
+            try:
+                pages.append(await self._page(path))
+                refusals = 0
+            except StatusError as error:
+                if error.status != HTTP_TOO_MANY_REQUESTS or waited >= READ_TIMEOUT:
+                    raise
+                pause = min(self._backoff(refusals), READ_TIMEOUT - waited)
+                waited, refusals = waited + pause, refusals + 1
+                await self.pause(pause)
+                continue
+            try:
+                token = json.loads(pages[-1]).get("nextToken")
+            except (ValueError, AttributeError):
+                raise InstanceListError(f"GET {path}: not JSON") from None
+            if not token:
+                return pages
+            path = f"/instances?pageToken={quote(str(token))}"
+        raise InstanceListError("more pages than there can be")
+
+    def _backoff(self, refusals: int) -> float:
+        """Seconds until a page is asked for again; jittered, so that nodes refused together do not return together."""
+        return min(MAX_PAUSE, (1 << refusals) / self.rate) * (0.5 + random.random())
+
+    async def _page(self, path: str) -> bytes:
+        """One page; on a new connection where the kept one brought no answer, as it may have been closed meanwhile."""
+        if self.streams is not None:
+            try:
+                return await http_get(*self.streams, self.address.host, path)
+            except StatusError:
+                raise
+            except (OSError, InstanceListError):
+                self.close()
+        self.streams = await asyncio.open_connection(self.address.host, self.address.port)
+        return await http_get(*self.streams, self.address.host, path)
+
+    def close(self) -> None:
+        """End the kept connection, if there is one."""
+        if self.streams is not None:
+            self.streams[1].transport.abort()
+            self.streams = None
--- a/tests/test_platform.py
+++ b/tests/test_instance_list.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from hive.platform import MOST_PAUSE, PATIENCE, Platform, PlatformError
+from hive.instance_list import MAX_PAUSE, READ_TIMEOUT, InstanceListClient, InstanceListError
 from ivymux.config import parse_address
 from waggle.news import parse
 
@@ -44,10 +44,10 @@
 
     async def read(self, rate: float, times: int = 1) -> list[bytes]:
         async with listening(self.serve) as address:
-            platform = Platform(parse_address(address), rate, self.pause)
+            platform = InstanceListClient(parse_address(address), rate, self.pause)
             try:
                 for _ in range(times):
-                    found = await platform.pages()
+                    found = await platform.read_pages()
                 return found
             finally:
                 platform.close()
@@ -70,9 +70,9 @@
 def test_a_platform_that_refuses_all_is_given_up_within_the_time_for_the_list(rate: float) -> None:
     async def play() -> None:
         listing = Listing(10**6)
-        with pytest.raises(PlatformError, match="429"):
+        with pytest.raises(InstanceListError, match="429"):
             await listing.read(rate)
-        assert sum(listing.paused) == pytest.approx(PATIENCE) and max(listing.paused) <= 1.5 * MOST_PAUSE
+        assert sum(listing.paused) == pytest.approx(READ_TIMEOUT) and max(listing.paused) <= 1.5 * MAX_PAUSE
         assert 3 <= listing.asked["/instances"] <= 14
 
     run(play())
@@ -84,7 +84,7 @@
         assert len(await broken.read(10.0, times=2)) == 2
         assert broken.connections == 4 and not broken.paused
         ill = Listing(1, status=500)
-        with pytest.raises(PlatformError, match="500"):
+        with pytest.raises(InstanceListError, match="500"):
             await ill.read(10.0)
         assert ill.asked["/instances"] == 1 and not ill.paused
 
