Show who reads the list of servers, what each node knows of it, and which task failed

Change: lines for the reader's role and for each table in use; the name and place of a failed task; GET /-/metrics on the desks; reading moves from the door to hive/list_reader.py. No logic changes.

--- a/hive/desk.py
+++ b/hive/desk.py
@@ -23,6 +23,9 @@
 MOST_CALLERS = 128
 RETRY = 0.5  # seconds after which an order that could not be settled may come again
 JSON = b"Content-Type: application/json\r\n"
+TEXT = b"Content-Type: text/plain; version=0.0.4; charset=utf-8\r\n"
+
+CALLS = frozenset(("configuration", "core", "evacuation", "lookup", "metrics", "readiness", "status"))
 
 Reply = Callable[[Answer], None]
 
@@ -62,6 +65,8 @@
 
     def status(self) -> dict[str, Any]: ...
 
+    def metrics(self) -> bytes: ...
+
 
 def answer(status: int, body: Any, retry_after: float = 0.0) -> Final:
     return Final(status, json.dumps(body).encode() + b"\n", retry_after=retry_after, headers=JSON)
@@ -131,6 +136,8 @@
                     reply(problem(503, "no_door", "no door is ready", RETRY))
             case ("GET", ["-", "status"]):
                 reply(answer(200, door.status()))
+            case ("GET", ["-", "metrics"]):
+                reply(Final(200, door.metrics(), headers=TEXT))
             case ("PUT", ["-", "configuration"]) if "control" in self.roles:
                 self.put(body, reply)
             case ("GET", ["-", "configuration"]) if "control" in self.roles:
@@ -142,7 +149,14 @@
                 door.evacuate(zone, method == "POST", self.ending(reply))
             case ("DELETE", ["-", "core", ip]) if "control" in self.roles:
                 door.retire(ip, self.ending(reply))
-            case (_, ["-", "configuration" | "evacuation" | "core" | "lookup" | "readiness" | "status", *_]):
+            case (
+                _,
+                [
+                    "-",
+                    "configuration" | "evacuation" | "core" | "lookup" | "metrics" | "readiness" | "status",
+                    *_,
+                ],
+            ):
                 reply(problem(405, "no_such_call", f"{method} is no call here"))
             case _:
                 reply(problem(404, "no_such_path", "no such path"))
--- a/hive/door.py
+++ b/hive/door.py
@@ -7,7 +7,7 @@
 import secrets
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
@@ -21,9 +21,10 @@
 from forage.gate import Forager, Tick
 from hive.desk import Desk, Settled
 from hive.front import Carrier, Front
-from hive.instance_list import InstanceListClient, InstanceListError
+from hive.list_reader import ListReader
 from hive.log import log
 from hive.mesh import Mesh
+from hive.node_metrics import collect, render
 from hive.servers import Servers
 from hive.settings import Settings
 from ivymux.config import Address, parse_address
@@ -31,11 +32,10 @@
 from ivymux.pool import PER_BACKEND
 from nectar.credits import Call, Granted, Lapsed
 from queenless.control import MEMBERS, WORD, ZONES
-from queenless.core import Core, Start
+from queenless.core import LIST, Core, Start
 from queenless.deeds import Changed, Danced, Deed, Poll, Save, Send
 from queenless.order import Done
 from swarm.peers import About
-from waggle.news import parse
 
 LEAST_CONNECTIONS = 4  # to one server, however many doors share it
 TICK = 0.05  # seconds: an eighth of a beat, and well under the time for a lease's call
@@ -70,8 +70,9 @@
         self.reported: Counter[str] = Counter()
         self.reported_at = 0.0
         self.core_ticked = self.fresh_at = -1e9
-        self.platform = InstanceListClient(settings.platform, settings.platform_rate)
         self.tasks: set[asyncio.Task[Any]] = set()
+        self.task_failures: Counter[str] = Counter()  # by the task's name
+        self.list_reader = ListReader(settings.platform, settings.platform_rate)
         most = settings.descriptors - OTHER_FILES
         fleet = Fleet(settings.zone, settings.region, settings.zones, random.Random(self.life))
         self.forager = Forager(settings.rule, fleet, self.life)
@@ -98,7 +99,7 @@
         records = await self.read_disk()
         self.core = self.make_core(records, settings.first)
         if records is None:
-            self.task(self.await_disk())
+            self.task("await the disk", self.await_disk())
         self.changed(WORD)
         self.changed(ZONES)
         await self.mesh.start()
@@ -174,6 +175,7 @@
         self.carry_out(self.core.tick(now))
         self.forager.doors = self.core.peers.most_doors
         self.servers.per_backend = self.connections()
+        self.list_reader.log_role(self.core.duties.until(LIST) > now)
         self.report(now)
 
     def connections(self) -> int:
@@ -185,11 +187,9 @@
         """New settings: seeds, the platform, times for revocations and the end; all else waits for the next start."""
         if settings == self.settings:
             return
-        old, self.settings = self.settings, settings
+        self.settings = settings
         self.core.seeds = list(settings.seeds)
-        if (settings.platform, settings.platform_rate) != (old.platform, old.platform_rate):
-            self.platform.close()
-            self.platform = InstanceListClient(settings.platform, settings.platform_rate)
+        self.list_reader.reconfigure(settings.platform, settings.platform_rate)
         log.say("hive", "uses new settings", seeds=",".join(settings.seeds))
 
     def report(self, now: float) -> None:
@@ -227,11 +227,11 @@
                 case Send():
                     self.mesh.send(deed.to, deed.message)
                 case Save():
-                    self.task(self.save(deed))
+                    self.task("save", self.save(deed))
                 case Changed():
                     self.changed(deed.what)
                 case Poll():
-                    self.task(self.poll())
+                    self.task("read the list", self.poll())
                 case Granted() | Lapsed():
                     self.carrier.post(deed)  # type: ignore[arg-type]
                 case Done():
@@ -239,15 +239,17 @@
                 case Danced():
                     self.forager.fleet.danced(self.loop.time(), deed.door, deed.outs)
 
-    def task(self, work: Any) -> None:
-        task = self.loop.create_task(work)
+    def task(self, name: str, work: Coroutine[Any, Any, None]) -> None:
+        """Run something beside all else; `name` says what, should it fail."""
+        task = self.loop.create_task(work, name=name)
         self.tasks.add(task)
         task.add_done_callback(self.ended)
 
     def ended(self, task: asyncio.Task[Any]) -> None:
         self.tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
-            log.say("hive", "a task failed", error=f"{type(error).__name__}: {error}")
+            self.task_failures[task.get_name()] += 1
+            log.failed("hive", "a task failed", error, task=task.get_name())
 
     # --- the operator's word -----------------------------------------------------------------------------------
 
@@ -283,11 +285,19 @@
             log.say("comb", "the core is", members=",".join(member.ip for member in members))
         elif what.startswith("service:"):
             service = what.partition(":")[2]
+            self.say_table(service)
             for server in self.forager.listed(now, service, self.core.news.tables[service].servers.values()):
                 self.servers.remove(server.number)
             for server in self.forager.fleet.services[service].values():
                 self.servers.place(server.number, parse_address(server.address), 0.0)
 
+    def say_table(self, service: str) -> None:
+        """Say which state of a service's servers is used from now on."""
+        table = self.core.news.tables[service]
+        draining = sum(not server.accepting for server in table.servers.values())
+        count, version = len(table.servers), table.version
+        log.say("waggle", "uses a table", service=service, version=version, servers=count, draining=draining)
+
     def order(self, begin: Callable[[int], list[Deed]], reply: Reply) -> None:
         self.token += 1
         self.replies[self.token] = reply
@@ -320,12 +330,7 @@
     # --- others ---------------------------------------------------------------------------------------------
 
     async def poll(self) -> None:
-        found = None
-        try:
-            pages = await self.platform.read_pages()
-            found = parse(pages, self.loop.time())
-        except (InstanceListError, ValueError) as error:
-            log.say("waggle", "could not read the list", error=error)
+        found = await self.list_reader.read()
         self.carry_out(self.core.listed(self.loop.time(), int(time.time() * 1000), found))
 
     def lease(self, call: Call) -> None:
@@ -344,6 +349,10 @@
             f"{ip}:{self.settings.front.port}" for ip in self.core.peers.for_clients(region)[:MOST_ADDRESSES]
         ]
 
+    def metrics(self) -> bytes:
+        """This door's figures as text."""
+        return render(collect(self, self.loop.time()))
+
     def status(self) -> dict[str, Any]:
         now, core = self.loop.time(), self.core
         state = core.control.state
@@ -389,7 +398,7 @@
             desk.close()
         await asyncio.sleep(0.05)  # the last answers leave
         self.mesh.close()
-        self.platform.close()
+        self.list_reader.close()
         self.servers.close()
         for task in self.tasks:
             task.cancel()
--- /dev/null
+++ b/hive/list_reader.py
@@ -0,0 +1,53 @@
+"""Reads the platform's list of servers for a node, counts the reads, and logs who reads and what fails."""
+
+from __future__ import annotations
+
+import asyncio
+
+from hive.instance_list import InstanceListClient, InstanceListError
+from hive.log import log
+from ivymux.config import Address
+from waggle.news import Server, parse
+
+ServersByService = dict[str, dict[str, Server]]
+
+
+class ListReader:
+    """One read at a time; the node asks for each."""
+
+    def __init__(self, address: Address, rate: float) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.client = InstanceListClient(address, rate)
+        self.reads = 0
+        self.failures = 0
+        self.read_at: float | None = None  # of the last read that succeeded, in the loop's seconds
+        self.is_reader = False  # as it was last logged
+
+    def reconfigure(self, address: Address, rate: float) -> None:
+        """Use another address or rate from the next read on."""
+        if (address, rate) == (self.client.address, self.client.rate):
+            return
+        self.client.close()
+        self.client = InstanceListClient(address, rate)
+
+    async def read(self) -> ServersByService | None:
+        """The servers of each service; None where the list could not be read."""
+        try:
+            found = parse(await self.client.read_pages(), self.loop.time())
+        except (InstanceListError, ValueError) as error:
+            self.failures += 1
+            log.say("waggle", "could not read the list", error=error)
+            return None
+        self.reads += 1
+        self.read_at = self.loop.time()
+        return found
+
+    def log_role(self, is_reader: bool) -> None:
+        """Log when this node becomes the one that reads the list, and when it ceases to be."""
+        if is_reader != self.is_reader:
+            self.is_reader = is_reader
+            log.say("waggle", "reads the list" if is_reader else "reads the list no more", reads=self.reads)
+
+    def close(self) -> None:
+        """End the connection to the platform."""
+        self.client.close()
--- a/hive/log.py
+++ b/hive/log.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import os
 import sys
 import time
+import traceback
 from typing import Any
 
 import eliot
 
+MOST_CALLS = 3  # of an error's trace
 MOST = 40  # sentences a second: an error that comes with every request must not fill the log
 
 
@@ -29,6 +32,18 @@
             fields["left_out"], self.left_out = self.left_out, 0
         eliot.log_message(message_type=part, say=sentence, **fields)
 
+    def failed(self, part: str, sentence: str, error: BaseException, **fields: Any) -> None:
+        """Say that something ended by an error that nobody foresaw, and where it arose."""
+        self.say(part, sentence, error=f"{type(error).__name__}: {error}", at=place_of(error), **fields)
+
+
+def place_of(error: BaseException) -> str:
+    """The innermost Python calls in which an error arose, the last first: `FILE:LINE`, three at most."""
+    calls = [call for call in traceback.extract_tb(error.__traceback__) if call.filename.endswith(".py")]
+    return ",".join(
+        f"{os.path.basename(call.filename)}:{call.lineno}" for call in reversed(calls[-MOST_CALLS:])
+    )
+
 
 class Lines:
     """eliot's destination: one plain line a message, `PART sentence field=value`."""
--- /dev/null
+++ b/hive/node_metrics.py
@@ -0,0 +1,72 @@
+"""A node's own figures, in the Prometheus text format: what an operator needs to tell one fault from another."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from queenless.core import LIST
+
+if TYPE_CHECKING:
+    from hive.door import Door
+
+PREFIX = "hazelspring_"
+
+
+@dataclass(slots=True, frozen=True)
+class Sample:
+    """One value; `labels` are pairs of name and value."""
+
+    name: str
+    value: float
+    labels: tuple[tuple[str, str], ...] = ()
+
+    def line(self) -> str:
+        labels = ",".join(f'{name}="{escape(value)}"' for name, value in self.labels)
+        return (
+            f"{PREFIX}{self.name}{{{labels}}} {self.value:g}"
+            if labels
+            else f"{PREFIX}{self.name} {self.value:g}"
+        )
+
+
+def escape(value: str) -> str:
+    """A label's value, as the format wants it."""
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+
+
+def render(samples: Iterable[Sample]) -> bytes:
+    """The samples as one text, a line each."""
+    return "".join(f"{sample.line()}\n" for sample in samples).encode()
+
+
+def collect(door: Door, now: float) -> Iterator[Sample]:
+    """Every figure of a node; `now` in the seconds of its event loop."""
+    yield Sample("ready", door.ready())
+    yield Sample("configuration", door.word.number if door.word is not None else -1)
+    yield Sample("configuration_fresh_seconds", door.forager.fresh_until - now)
+    yield Sample("core_member", door.core.control.seated())
+    yield from server_list(door, now)
+    for reason, count in door.forager.ends.items():
+        yield Sample("requests_not_served_total", count, (("reason", reason),))
+    for kind, count in door.core.dropped.items():
+        yield Sample("messages_dropped_total", count, (("kind", kind),))
+    for task, count in door.task_failures.items():
+        yield Sample("task_failures_total", count, (("task", task),))
+
+
+def server_list(door: Door, now: float) -> Iterator[Sample]:
+    """Who reads the platform's list, when it was last read, and what is known of each service's servers."""
+    reader = door.list_reader
+    yield Sample("list_reader", door.core.duties.until(LIST) > now)
+    yield Sample("list_reads_total", reader.reads, (("result", "read"),))
+    yield Sample("list_reads_total", reader.failures, (("result", "failed"),))
+    if reader.read_at is not None:
+        yield Sample("list_read_ago_seconds", now - reader.read_at)
+    for service, table in door.core.news.tables.items():
+        labels = (("service", service),)
+        accepting = sum(server.accepting for server in table.servers.values())
+        yield Sample("server_table_version", table.version, labels)
+        yield Sample("servers", accepting, (*labels, ("state", "accepting")))
+        yield Sample("servers", len(table.servers) - accepting, (*labels, ("state", "draining")))
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -58,6 +58,23 @@
     yard.until(lambda: yard.ask(1, "GET", "/read/a", "after-wipe")[0] == 200)
 
 
+def figures(yard: Yard, n: int) -> dict[str, float]:
+    """A door's own figures by name and labels."""
+    text = once(yard.controls()[n], "GET", "/-/metrics", None, 2).body.decode()
+    return {name: float(value) for name, value in (line.rsplit(" ", 1) for line in text.splitlines())}
+
+
+def test_the_metrics_name_the_one_reader_of_the_list_and_what_each_door_knows_of_servers(yard: Yard) -> None:
+    yard.until(lambda: sum(figures(yard, n)["hazelspring_list_reader"] for n in range(6)) == 1)
+    found = [figures(yard, n) for n in range(6)]
+    (reader,) = [one for one in found if one["hazelspring_list_reader"]]
+    assert reader["hazelspring_list_read_ago_seconds"] < 5
+    assert reader['hazelspring_list_reads_total{result="read"}'] > 0
+    for one in found:
+        assert one['hazelspring_servers{service="shop",state="accepting"}'] == 4
+        assert one['hazelspring_server_table_version{service="shop"}'] > 0
+
+
 def test_a_disk_that_cannot_be_read_is_not_taken_for_an_empty_one(yard: Yard) -> None:
     yard.until(lambda: status(yard, 1).get("member"))
     before = status(yard, 1)["version"]
