Tests that fail: the list of servers is not read again after a reset, nor by another

Change: a reset between two reads on loopback; a read that ends without a word, and a holder that the platform does not answer, on simulated time.

--- a/apiary/stands.py
+++ b/apiary/stands.py
@@ -8,6 +8,8 @@
 import contextlib
 import json
 import os
+import socket
+import struct
 import sys
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -104,6 +106,7 @@
         self.platform, self.servers = platform, servers
         self.calls = 0
         self.listening: list[asyncio.Server] = []
+        self.platform_writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         for server in self.servers:
@@ -115,7 +118,10 @@
         host, _, port = address.rpartition(":")
 
         async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            if address == self.platform:
+                self.platform_writers.add(writer)
             await serve(handler, reader, writer)
+            self.platform_writers.discard(writer)
 
         self.listening.append(await asyncio.start_server(accept, host, int(port)))
 
@@ -135,6 +141,13 @@
         answer = json.dumps({"instanceList": listed, "nextToken": None}).encode()
         return 200, {"Content-Type": "application/json"}, answer
 
+    def reset_platform(self) -> None:
+        """Reset every connection to the platform, as a machine that has forgotten them does."""
+        for writer in self.platform_writers:
+            wire = writer.get_extra_info("socket")
+            wire.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+
     def close(self) -> None:
         for server in self.listening:
             server.close()
--- a/tests/test_instance_list.py
+++ b/tests/test_instance_list.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 from collections import Counter
 
 import pytest
@@ -12,7 +14,7 @@
 from ivymux.config import parse_address
 from waggle.news import parse
 
-from .sockets import listening, run
+from .sockets import listening, run, until
 
 ENTRY = {"service": "s", "address": "x:1", "zone": "a1", "serverState": "accepting"}
 PAGES = {"/instances": ("i-1", "p 2"), "/instances?pageToken=p%202": ("i-2", None)}
@@ -25,10 +27,12 @@
         self.refusals, self.status, self.last = refusals, status, last
         self.asked: Counter[str] = Counter()
         self.connections = 0
+        self.writers: list[asyncio.StreamWriter] = []
         self.paused: list[float] = []
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
+        self.writers.append(writer)
         while True:
             path = (await reader.readuntil(b"\r\n\r\n")).split()[1].decode()
             self.asked[path] += 1
@@ -39,6 +43,13 @@
             if self.last:
                 return
 
+    def reset(self) -> None:
+        """Reset every connection, as a machine that has forgotten them does."""
+        for writer in self.writers:
+            wire = writer.get_extra_info("socket")
+            wire.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+
     async def pause(self, seconds: float) -> None:
         self.paused.append(seconds)
 
@@ -89,3 +100,19 @@
         assert ill.asked["/instances"] == 1 and not ill.paused
 
     run(play())
+
+
+def test_a_kept_connection_that_was_reset_since_the_last_read_is_replaced() -> None:
+    async def play() -> None:
+        listing = Listing(0)
+        async with listening(listing.serve) as address:
+            client = InstanceListClient(parse_address(address), 10.0, listing.pause)
+            await client.read_pages()
+            listing.reset()
+            assert client.streams is not None
+            await until(client.streams[1].transport.is_closing)
+            assert len(await client.read_pages()) == 2
+            assert listing.connections == 2
+            client.close()
+
+    run(play())
--- /dev/null
+++ b/tests/test_list_duty.py
@@ -0,0 +1,82 @@
+"""The duty of reading the platform's list, on simulated time: a holder that reads nothing more does not keep it."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from queenless.core import LIST, Core
+from queenless.deeds import Deed, Poll
+
+from .world import World
+
+DRAIN_CUTOFF = 3.0  # seconds after which no request may reach a server that is listed as draining
+
+
+class ListWorld(World):
+    """Reads of the list at some doors never end, or fail."""
+
+    def __init__(self, core: int, others: int, seed: int = 1) -> None:
+        self.stuck: set[str] = set()  # their reads end without a word, as a task does that failed
+        self.cut_off: set[str] = set()  # the platform does not answer them: each read fails after a time
+        self.reads: list[str] = []
+        super().__init__(core, others, seed)
+
+    def deeds(self, name: str, deeds: list[Deed]) -> None:
+        core = self.doors[name].core
+        assert core is not None
+        if any(isinstance(deed, Poll) for deed in deeds):
+            self.reads.append(name)
+            if name in self.stuck:
+                deeds = [deed for deed in deeds if not isinstance(deed, Poll)]
+            elif name in self.cut_off:
+                deeds = [deed for deed in deeds if not isinstance(deed, Poll)]
+                self.at(self.now + 1.5, lambda: self.unless_frozen(name, core, lambda: self.fail(name, core)))
+        super().deeds(name, deeds)
+
+    def fail(self, name: str, core: Core) -> None:
+        self.deeds(name, core.listed(self.now, int(self.now * 1000), None))
+
+    def reader(self) -> str:
+        (found,) = [name for name in self.up() if self.holds(name, LIST)]
+        return found
+
+    def drain(self) -> None:
+        """The platform lists every server as draining from now on."""
+        assert self.listing is not None
+        self.listing = {
+            service: {id_: replace(server, accepting=False) for id_, server in servers.items()}
+            for service, servers in self.listing.items()
+        }
+
+    def unaware(self) -> list[str]:
+        """Doors that still take a server for accepting."""
+        tables = {name: self.doors[name].core.news.tables for name in self.up()}  # type: ignore[union-attr]
+        return [
+            name
+            for name, known in tables.items()
+            if not known or any(s.accepting for table in known.values() for s in table.servers.values())
+        ]
+
+
+def test_a_read_of_the_list_that_ends_without_a_word_does_not_keep_doors_from_news() -> None:
+    for seed in range(5):
+        world = ListWorld(4, 3, seed)
+        world.run(4.0)
+        world.stuck = {world.reader()}
+        world.run(6.0)
+        world.drain()
+        world.run(DRAIN_CUTOFF)
+        assert world.unaware() == [] and not world.breaches
+
+
+def test_a_holder_that_the_platform_does_not_answer_hands_the_reading_to_another_door() -> None:
+    for seed in range(5):
+        world = ListWorld(4, 3, seed)
+        world.run(4.0)
+        first = world.reader()
+        world.cut_off = {first}
+        world.run(8.0)
+        assert world.reader() != first
+        world.drain()
+        world.run(DRAIN_CUTOFF)
+        assert world.unaware() == [] and not world.breaches
