End every read of the list with a result, and replace a connection that was reset

Cause: uvloop raises RuntimeError for a write to a connection that was reset; Door.poll caught OSError, TimeoutError and its own errors only, so the core never heard that the read had ended. Change: the client tries a closed connection no more and takes any error for a failed read; the reader always answers. Ruled out: catching RuntimeError by name, as the next unforeseen type would do the same.

--- a/hive/instance_list.py
+++ b/hive/instance_list.py
@@ -89,10 +89,12 @@
         try:
             async with asyncio.timeout(READ_TIMEOUT):
                 return await self._walk()
-        except (OSError, TimeoutError, InstanceListError) as error:
+        except (
+            Exception
+        ) as error:  # whatever a transport or parser raises, a read has failed and its connection goes
             self.close()
             text = str(error) or type(error).__name__
-            raise InstanceListError(f"list of servers, {self.address.host}: {text}") from None
+            raise InstanceListError(f"list of servers, {self.address.host}: {text}") from error
 
     async def _walk(self) -> list[bytes]:
         pages: list[bytes] = []
@@ -123,13 +125,14 @@
 
     async def _page(self, path: str) -> bytes:
         """One page; on a new connection where the kept one brought no answer, as it may have been closed meanwhile."""
-        if self.streams is not None:
+        if self.streams is not None and not self.streams[1].is_closing():
             try:
                 return await http_get(*self.streams, self.address.host, path)
             except StatusError:
                 raise
             except (OSError, InstanceListError):
-                self.close()
+                pass
+        self.close()
         self.streams = await asyncio.open_connection(self.address.host, self.address.port)
         return await http_get(*self.streams, self.address.host, path)
 
--- a/hive/list_reader.py
+++ b/hive/list_reader.py
@@ -31,13 +31,17 @@
         self.client = InstanceListClient(address, rate)
 
     async def read(self) -> ServersByService | None:
-        """The servers of each service; None where the list could not be read."""
+        """The servers of each service; None where the list could not be read, for whatever reason."""
         try:
             found = parse(await self.client.read_pages(), self.loop.time())
         except (InstanceListError, ValueError) as error:
             self.failures += 1
             log.say("waggle", "could not read the list", error=error)
             return None
+        except Exception as error:  # the node waits for every read to end
+            self.failures += 1
+            log.failed("waggle", "could not read the list", error)
+            return None
         self.reads += 1
         self.read_at = self.loop.time()
         return found
--- a/tests/test_instance_list.py
+++ b/tests/test_instance_list.py
@@ -11,6 +11,7 @@
 import pytest
 
 from hive.instance_list import MAX_PAUSE, READ_TIMEOUT, InstanceListClient, InstanceListError
+from hive.list_reader import ListReader
 from ivymux.config import parse_address
 from waggle.news import parse
 
@@ -116,3 +117,24 @@
             client.close()
 
     run(play())
+
+
+def test_a_read_that_ends_by_an_error_that_nobody_foresaw_is_a_failed_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play() -> None:
+        listing = Listing(0)
+        async with listening(listing.serve) as address:
+            reader = ListReader(parse_address(address), 10.0)
+            assert await reader.read() is not None
+            for name in ("_page", "read_pages"):
+                with monkeypatch.context() as patch:
+                    patch.setattr(reader.client, name, raising)
+                    assert await reader.read() is None
+            assert await reader.read() is not None and (reader.reads, reader.failures) == (2, 2)
+            reader.close()
+
+    async def raising(*_: object) -> None:
+        raise RuntimeError("the handler is closed")
+
+    run(play())
