Hand the reading of the list on when its holder gets none, and bound each read

Cause: the lease on the duty was renewed as long as the process sent heartbeats, whether it did the duty or not; one read without an end stopped all reading for good. Change: queenless/list_duty.py: a read has a deadline and a number, late ends count for nothing; a holder without a read for 2 s (an interval and a time-out) declines, tells the core at once and in its state, and others go first for 10 s; where all decline the duty stays. Ruled out: a shorter lease, which says nothing of reads; all members reading, as calls to the platform are bounded and priced.

--- a/bench/scale/program.py
+++ b/bench/scale/program.py
@@ -17,8 +17,9 @@
 from nectar.bounds import QuotaRule
 from nectar.counter import Counter
 from nectar.credits import Credits
-from queenless.core import LIST, SHARDS, Core, Start
+from queenless.core import SHARDS, Core, Start
 from queenless.deeds import Danced, Deed, Message, Poll, Save, Send
+from queenless.list_duty import LIST
 from queenless.order import Done
 from queenless.teller import LEASE
 from swarm.peers import About
@@ -192,7 +193,7 @@
                     case Danced():
                         self.dances[deed.door] = (now, deed.outs)
                     case Poll():
-                        more += self.known().listed(now, int(now * 1000), self.listing())
+                        more += self.known().listed(now, int(now * 1000), self.listing(), deed.number)
                     case Done():
                         found.done.append((deed.token, deed.good))
                     case _:
--- a/hive/door.py
+++ b/hive/door.py
@@ -32,7 +32,7 @@
 from ivymux.pool import PER_BACKEND
 from nectar.credits import Call, Granted, Lapsed
 from queenless.control import MEMBERS, WORD, ZONES
-from queenless.core import LIST, Core, Start
+from queenless.core import Core, Start
 from queenless.deeds import Changed, Danced, Deed, Poll, Save, Send
 from queenless.order import Done
 from swarm.peers import About
@@ -175,7 +175,7 @@
         self.carry_out(self.core.tick(now))
         self.forager.doors = self.core.peers.most_doors
         self.servers.per_backend = self.connections()
-        self.list_reader.log_role(self.core.duties.until(LIST) > now)
+        self.list_reader.log_role(self.core.list_duty.holds(now))
         self.report(now)
 
     def connections(self) -> int:
@@ -231,7 +231,7 @@
                 case Changed():
                     self.changed(deed.what)
                 case Poll():
-                    self.task("read the list", self.poll())
+                    self.task("read the list", self.poll(deed.number))
                 case Granted() | Lapsed():
                     self.carrier.post(deed)  # type: ignore[arg-type]
                 case Done():
@@ -329,9 +329,9 @@
 
     # --- others ---------------------------------------------------------------------------------------------
 
-    async def poll(self) -> None:
+    async def poll(self, number: int) -> None:
         found = await self.list_reader.read()
-        self.carry_out(self.core.listed(self.loop.time(), int(time.time() * 1000), found))
+        self.carry_out(self.core.listed(self.loop.time(), int(time.time() * 1000), found, number))
 
     def lease(self, call: Call) -> None:
         self.carry_out(self.core.lease(self.loop.time(), call.tenant, call.number, call.units))
--- a/hive/instance_list.py
+++ b/hive/instance_list.py
@@ -11,10 +11,8 @@
 import httptools
 
 from ivymux.config import Address
+from queenless.list_duty import READ_TIMEOUT
 
-READ_TIMEOUT = (
-    1.5  # seconds for the whole list: half of the shortest time in which nodes must hear of a server's end
-)
 MAX_PAUSE = READ_TIMEOUT / 4  # seconds between two tries of a page, however few calls the platform accepts
 MAX_PAGES = 64
 MAX_PAGE_BYTES = 4 << 20
--- a/hive/list_reader.py
+++ b/hive/list_reader.py
@@ -13,11 +13,12 @@
 
 
 class ListReader:
-    """One read at a time; the node asks for each."""
+    """One read at a time; the node asks for each.  One that is asked for while another runs takes its place."""
 
     def __init__(self, address: Address, rate: float) -> None:
         self.loop = asyncio.get_running_loop()
         self.client = InstanceListClient(address, rate)
+        self.reading: InstanceListClient | None = None  # whose read is under way
         self.reads = 0
         self.failures = 0
         self.read_at: float | None = None  # of the last read that succeeded, in the loop's seconds
@@ -25,15 +26,21 @@
 
     def reconfigure(self, address: Address, rate: float) -> None:
         """Use another address or rate from the next read on."""
-        if (address, rate) == (self.client.address, self.client.rate):
-            return
+        if (address, rate) != (self.client.address, self.client.rate):
+            self.replace_client(address, rate)
+
+    def replace_client(self, address: Address, rate: float) -> None:
+        """Read over a new connection from now on; what is under way on the old one fails."""
         self.client.close()
         self.client = InstanceListClient(address, rate)
 
     async def read(self) -> ServersByService | None:
         """The servers of each service; None where the list could not be read, for whatever reason."""
+        if self.reading is self.client:
+            self.replace_client(self.client.address, self.client.rate)
+        client = self.reading = self.client
         try:
-            found = parse(await self.client.read_pages(), self.loop.time())
+            found = parse(await client.read_pages(), self.loop.time())
         except (InstanceListError, ValueError) as error:
             self.failures += 1
             log.say("waggle", "could not read the list", error=error)
@@ -42,6 +49,9 @@
             self.failures += 1
             log.failed("waggle", "could not read the list", error)
             return None
+        finally:
+            if self.reading is client:
+                self.reading = None
         self.reads += 1
         self.read_at = self.loop.time()
         return found
--- a/hive/node_metrics.py
+++ b/hive/node_metrics.py
@@ -6,8 +6,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from queenless.core import LIST
-
 if TYPE_CHECKING:
     from hive.door import Door
 
@@ -59,7 +57,7 @@
 def server_list(door: Door, now: float) -> Iterator[Sample]:
     """Who reads the platform's list, when it was last read, and what is known of each service's servers."""
     reader = door.list_reader
-    yield Sample("list_reader", door.core.duties.until(LIST) > now)
+    yield Sample("list_reader", door.core.list_duty.holds(now))
     yield Sample("list_reads_total", reader.reads, (("result", "read"),))
     yield Sample("list_reads_total", reader.failures, (("result", "failed"),))
     if reader.read_at is not None:
--- a/queenless/beats.py
+++ b/queenless/beats.py
@@ -43,6 +43,8 @@
         if self.control.seated():
             told["d"] = self.duties.told(now)
             told["q"] = self.control.silent(now)
+            if declining := self.duties.declining(now):
+                told["o"] = dict.fromkeys(declining, 1)
         return told
 
     def number(self, now: float, known: int) -> int:
@@ -175,6 +177,7 @@
             peer.news, peer.holders = state["n"], state.get("d", {})
             peer.held = (state["h"]["v"], state["h"]["p"])
             peer.silent = frozenset(state.get("q", ()))
+            peer.declines = frozenset(state.get("o", ()))
         if peer.held is not None:
             self.control.told_of(about.ip, peer.held[0])
             if max(peer.held) <= self.control.register.version:
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -19,6 +19,7 @@
 from queenless.control import ASK_AGAIN, Control
 from queenless.deeds import AGREEMENT, Danced, Deed, Message, Poll, Send
 from queenless.herald import Herald, ask_for
+from queenless.list_duty import LIST, ListDuty
 from queenless.order import Order
 from queenless.teller import LEASE
 from swarm.duties import Duties, Who
@@ -26,9 +27,7 @@
 from swarm.rendezvous import shard
 from waggle.news import Server
 
-LIST = 0  # the duty of asking the platform
 SHARDS = 8  # of tenants; fixed, as two doors that differ in it would both own a tenant
-POLL = 0.5  # seconds between looks at the platform's list
 BARE = 0.15  # seconds without any table, as none else has one, after which a core door asks for itself
 DOORS = "mark doors"  # the record of how many doors there ever were
 
@@ -62,7 +61,7 @@
         self.news = self.herald.news
         self.beats = Beats(self.peers, self.control, self.duties, self.news, now)
         self.ready = False
-        self.polled_at, self.polling = -1e9, False
+        self.list_duty = ListDuty(self.duties)
         self.level: dict[
             str, tuple[dict[str, int], dict[str, int]]
         ] = {}  # what each told, and was known, of news
@@ -209,14 +208,21 @@
             self.duties.recall(now)
             if self.beats.may_grant(self.peers.core_sum()):  # to itself, as to others
                 self.duties.renew(now)
-        young = now - self.began <= BARE and self.duties.until(LIST) <= now
-        if self.may_list(now) and not young and not self.polling and now - self.polled_at >= POLL:
-            self.polling, self.polled_at = True, now
-            self.deeds.append(Poll())
+        if self.list_duty.must_decline(now):
+            self.decline(now, LIST)
+        young = now - self.began <= BARE and not self.list_duty.holds(now)
+        if self.may_list(now) and not young and (number := self.list_duty.begin(now)) is not None:
+            self.deeds.append(Poll(number))
+
+    def decline(self, now: float, duty: int) -> None:
+        """Leave a duty that this door can't do to another one, at once."""
+        self.duties.decline(now, duty)
+        message = {"k": "decline", "a": self.me.row(), "d": [duty]}
+        self.deeds += [Send(ip, message) for ip in self.peers.others()]
 
     def may_list(self, now: float) -> bool:
         """Whether the platform's list is this door's to read: by its duty, or for want of any table."""
-        return self.duties.until(LIST) > now or not self.news.tables
+        return self.list_duty.holds(now) or not self.news.tables
 
     def drain(self, now: float) -> list[Deed]:
         """This door leaves in order: its duties go to others at once."""
@@ -228,10 +234,12 @@
 
     # --- news of servers ----------------------------------------------------------------------------------
 
-    def listed(self, now: float, wall_ms: int, found: dict[str, dict[str, Server]] | None) -> list[Deed]:
-        """The platform's list, or that it could not be read."""
-        self.polling = False
-        if found is None or not self.may_list(now):
+    def listed(
+        self, now: float, wall_ms: int, found: dict[str, dict[str, Server]] | None, number: int
+    ) -> list[Deed]:
+        """The platform's list as a read brought it, or None where it failed; `number`: which read."""
+        newest = self.list_duty.end(number, found is not None)
+        if found is None or not newest or not self.may_list(now):
             return []
         return self.herald.listed(now, wall_ms, found)
 
@@ -284,6 +292,9 @@
             case "news":
                 self.deeds += self.herald.take(now, message["n"])
                 self.asked.pop(f"news {message['n'][0]}", None)
+            case "decline":
+                about = About(*message["a"])
+                self.duties.declined_by((about.ip, about.life), message["d"])
             case "free":
                 about = About(*message["a"])
                 self.duties.freed((about.ip, about.life), message["d"])
--- a/queenless/deeds.py
+++ b/queenless/deeds.py
@@ -31,7 +31,9 @@
 
 @dataclass(slots=True, frozen=True)
 class Poll:
-    """The platform's list is to be read; `Core.listed` wants to hear of it."""
+    """The platform's list is to be read; `Core.listed` wants to hear how that read, by its number, ended."""
+
+    number: int
 
 
 @dataclass(slots=True, frozen=True)
--- a/swarm/duties.py
+++ b/swarm/duties.py
@@ -10,6 +10,9 @@
 from swarm.rendezvous import owner
 
 SHORT = 0.9  # part of it that a holder relies on, as steady clocks may differ in speed,
+DECLINED = (
+    10.0  # seconds for which a door leaves a duty that it could not do to others: ten times what a try takes
+)
 MARGIN = 0.1  # and seconds less, for what lies between a look at the clock and the deed
 
 Who = tuple[str, int]  # address and life
@@ -107,6 +110,9 @@
         # when a new life was told what is counted on, and which life
         self.disowned: dict[str, tuple[float, int]] = {}
         self.asking: list[int] = []  # what the last beat asked for
+        self.declined: dict[
+            int, float
+        ] = {}  # duties that this door could not do, and until when others are to
         self.left = False
 
     def me(self) -> Who:
@@ -152,11 +158,45 @@
             if holder == self.peers.me.ip:
                 found.append(duty)
                 continue
-            free = holder is None or not self.peers.alive(now, holder)
-            if free and enough and owner(f"duty {duty}", alive) == self.peers.me.ip:
+            free = holder is None or not self.peers.alive(now, holder) or self.declines(now, holder, duty)
+            if free and enough and owner(f"duty {duty}", self.willing(now, duty, alive)) == self.peers.me.ip:
                 found.append(duty)
         return found
 
+    def declines(self, now: float, ip: str, duty: int) -> bool:
+        """Whether a door of the core has said that it can't do a duty just now."""
+        if ip == self.peers.me.ip:
+            return now < self.declined.get(duty, now)
+        peer = self.peers.peers.get(ip)
+        return peer is not None and duty in peer.declines
+
+    def willing(self, now: float, duty: int, candidates: list[str]) -> list[str]:
+        """Of these doors those that don't decline a duty; all where each of them does."""
+        return [ip for ip in candidates if not self.declines(now, ip, duty)] or candidates
+
+    def others_willing(self, now: float, duty: int) -> bool:
+        """Whether another door could take a duty and doesn't decline it."""
+        others = self.peers.others()
+        return any(self.may_hold(now, ip) and not self.declines(now, ip, duty) for ip in others)
+
+    def decline(self, now: float, duty: int) -> None:
+        """This door can't do a duty that it holds: it ceases to hold it, and others go first for a while."""
+        self.declined[duty] = now + DECLINED
+        self.holds.pop(duty, None)
+        self.granter.release(str(duty), self.me())
+
+    def declining(self, now: float) -> list[int]:
+        """The duties that this door leaves to others."""
+        return [duty for duty, until in self.declined.items() if now < until]
+
+    def declined_by(self, who: Who, duties: list[int]) -> None:
+        """Another door declines duties that it held: its promises end."""
+        for duty in duties:
+            self.granter.release(str(duty), who)
+        peer = self.peers.peers.get(who[0])
+        if peer is not None and peer.about.life == who[1]:
+            peer.declines |= frozenset(duties)
+
     def may_hold(self, now: float, ip: str) -> bool:
         """Whether a door of the core can take a duty: it answers, its seat is its own, and it isn't leaving."""
         return self.peers.alive(now, ip) and self.peers.sits(ip) and not self.peers.leaving(ip)
--- a/swarm/peers.py
+++ b/swarm/peers.py
@@ -46,6 +46,7 @@
     held: tuple[int, int] | None = None  # the version in force there, and the one that may be (-1: none)
     silent: frozenset[str] = frozenset()  # members that it takes for silent
     leaving: bool = False  # it takes no duty any more
+    declines: frozenset[int] = frozenset()  # duties that it could not do of late and leaves to others
     news: dict[str, int] = field(default_factory=dict)
     holders: dict[str, str] = field(default_factory=dict)
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -5,8 +5,8 @@
 import pytest
 
 import comb.state
-from queenless.core import LIST
 from queenless.deeds import Message, Send
+from queenless.list_duty import LIST
 
 from .world import World
 
--- a/tests/test_instance_list.py
+++ b/tests/test_instance_list.py
@@ -10,9 +10,10 @@
 
 import pytest
 
-from hive.instance_list import MAX_PAUSE, READ_TIMEOUT, InstanceListClient, InstanceListError
+from hive.instance_list import MAX_PAUSE, InstanceListClient, InstanceListError
 from hive.list_reader import ListReader
 from ivymux.config import parse_address
+from queenless.list_duty import READ_TIMEOUT
 from waggle.news import parse
 
 from .sockets import listening, run, until
@@ -138,3 +139,26 @@
         raise RuntimeError("the handler is closed")
 
     run(play())
+
+
+def test_a_read_that_is_asked_for_while_another_hangs_takes_its_place() -> None:
+    async def play() -> None:
+        silent: list[asyncio.StreamWriter] = []
+        listing = Listing(0)
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            if not silent:
+                silent.append(writer)
+                await reader.read()
+            await listing.serve(reader, writer)
+
+        async with listening(serve) as address:
+            reader = ListReader(parse_address(address), 10.0)
+            hangs = asyncio.create_task(reader.read())
+            await until(lambda: silent)
+            assert await reader.read() is not None
+            assert await hangs is None and reader.reading is None
+            assert await reader.read() is not None and (reader.reads, reader.failures) == (2, 1)
+            reader.close()
+
+    run(play())
--- a/tests/test_list_duty.py
+++ b/tests/test_list_duty.py
@@ -4,8 +4,9 @@
 
 from dataclasses import replace
 
-from queenless.core import LIST, Core
+from queenless.core import Core
 from queenless.deeds import Deed, Poll
+from queenless.list_duty import LIST, READ_TIMEOUT
 
 from .world import World
 
@@ -24,17 +25,19 @@
     def deeds(self, name: str, deeds: list[Deed]) -> None:
         core = self.doors[name].core
         assert core is not None
-        if any(isinstance(deed, Poll) for deed in deeds):
-            self.reads.append(name)
-            if name in self.stuck:
-                deeds = [deed for deed in deeds if not isinstance(deed, Poll)]
-            elif name in self.cut_off:
-                deeds = [deed for deed in deeds if not isinstance(deed, Poll)]
-                self.at(self.now + 1.5, lambda: self.unless_frozen(name, core, lambda: self.fail(name, core)))
+        polls = [deed for deed in deeds if isinstance(deed, Poll)]
+        self.reads += [name for _ in polls]
+        if name in self.stuck | self.cut_off:
+            deeds = [deed for deed in deeds if not isinstance(deed, Poll)]
+        for poll in polls if name in self.cut_off else ():
+            self.at(self.now + READ_TIMEOUT, lambda number=poll.number: self.fail(name, core, number))  # type: ignore[misc]
         super().deeds(name, deeds)
 
-    def fail(self, name: str, core: Core) -> None:
-        self.deeds(name, core.listed(self.now, int(self.now * 1000), None))
+    def fail(self, name: str, core: Core, number: int) -> None:
+        def failed() -> None:
+            self.deeds(name, core.listed(self.now, int(self.now * 1000), None, number))
+
+        self.unless_frozen(name, core, failed)
 
     def reader(self) -> str:
         (found,) = [name for name in self.up() if self.holds(name, LIST)]
@@ -80,3 +83,50 @@
         world.drain()
         world.run(DRAIN_CUTOFF)
         assert world.unaware() == [] and not world.breaches
+
+
+def test_the_only_door_that_may_read_begins_anew_after_a_read_without_an_end() -> None:
+    world = ListWorld(1, 2)
+    world.run(4.0)
+    world.stuck = {"d1"}
+    world.run(4.0)
+    assert world.reader() == "d1" and len(world.reads) > 3  # it tries again and again
+    world.drain()
+    world.stuck = set()
+    world.run(DRAIN_CUTOFF)
+    assert world.unaware() == []
+
+
+def test_a_read_that_was_given_up_changes_nothing_when_it_ends_after_all() -> None:
+    world = ListWorld(4, 0)
+    world.run(4.0)
+    reader = world.reader()
+    core = world.doors[reader].core
+    assert core is not None
+    world.stuck = {reader}
+    late = core.list_duty.number
+    old = world.listing
+    world.run(4.0)
+    world.drain()
+    world.run(DRAIN_CUTOFF)
+    assert core.listed(world.now, int(world.now * 1000) + 10_000, old, late) == []
+    assert world.unaware() == []
+
+
+def test_while_the_platform_answers_nobody_the_duty_goes_round_and_news_come_once_it_does() -> None:
+    for seed in range(5):
+        world = ListWorld(4, 3, seed)
+        world.run(4.0)
+        world.cut_off = {"d1", "d2", "d3", "d4"}
+        world.reads.clear()
+        world.run(30.0)
+        assert set(world.reads) == world.cut_off and len(world.reads) >= 8
+        world.drain()
+        world.cut_off = set()
+        world.run(DRAIN_CUTOFF + READ_TIMEOUT)  # what is under way when the platform is back fails still
+        assert world.unaware() == [] and not world.breaches
+        world.run(20.0)
+        first = len(world.reads)
+        reader = world.reader()
+        world.run(10.0)
+        assert set(world.reads[first:]) == {reader}  # with a platform that answers nobody hands it on
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -11,7 +11,8 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from nectar.credits import Granted
-from queenless.core import LIST, SHARDS
+from queenless.core import SHARDS
+from queenless.list_duty import LIST
 from swarm.rendezvous import shard
 
 from .world import Call, Disk, World
--- a/tests/world.py
+++ b/tests/world.py
@@ -19,8 +19,9 @@
 from comb.word import digest
 from nectar.bounds import QuotaRule
 from nectar.credits import Granted, Lapsed
-from queenless.core import LIST, Core, Start
+from queenless.core import Core, Start
 from queenless.deeds import Changed, Danced, Deed, Message, Poll, Save, Send
+from queenless.list_duty import LIST
 from queenless.order import Done
 from swarm.peers import About
 from waggle.news import Server
@@ -224,7 +225,7 @@
                 case Save():
                     self.save(name, core, deed)
                 case Poll():
-                    self.deeds(name, core.listed(self.now, int(self.now * 1000), self.listing))
+                    self.deeds(name, core.listed(self.now, int(self.now * 1000), self.listing, deed.number))
                 case Changed():
                     if not deed.what.startswith("service:"):
                         self.saw(name, core)
