--- a/hive/desk.py
+++ b/hive/desk.py
@@ -4,7 +4,6 @@
 
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any, Protocol, cast
 from urllib.parse import parse_qs
 
@@ -14,6 +13,7 @@
 from comb.check import Invalid
 from hive.front import Final, encode
 from hive.log import log
+from hive.operator_calls import OperatorCalls, Settled
 from ivymux.caller import BadRequest, Client, Exchange, Listener
 from ivymux.config import Address
 from ivymux.host import Answer, Open
@@ -30,20 +30,11 @@
 Reply = Callable[[Answer], None]
 
 
-@dataclass(slots=True, frozen=True)
-class Settled:
-    """How an order ended: `conflict` where another body holds its number; `body` is what was read, packed."""
-
-    good: bool
-    conflict: bool = False
-    why: str = ""
-    body: bytes = b""
-
-
 class Door(Protocol):
     """What the calls are about."""
 
     counts: Counts
+    calls: OperatorCalls
 
     def ready(self) -> bool: ...
 
@@ -52,15 +43,6 @@
     @property
     def lifetime(self) -> float: ...
 
-    def put(self, body: bytes, done: Callable[[Settled], None]) -> None:
-        """Raises comb.check.Invalid, and nothing is ordered then."""
-
-    def read(self, done: Callable[[Settled], None]) -> None: ...
-
-    def evacuate(self, zone: str, closed: bool, done: Callable[[Settled], None]) -> None: ...
-
-    def retire(self, ip: str, done: Callable[[Settled], None]) -> None: ...
-
     def zone_known(self, zone: str) -> bool: ...
 
     def status(self) -> dict[str, Any]: ...
@@ -141,14 +123,14 @@
             case ("PUT", ["-", "configuration"]) if "control" in self.roles:
                 self.put(body, reply)
             case ("GET", ["-", "configuration"]) if "control" in self.roles:
-                door.read(self.ending(reply, read=True))
+                door.calls.read(self.ending(reply, read=True))
             case ("POST" | "DELETE", ["-", "evacuation", zone]) if "control" in self.roles:
                 if not door.zone_known(zone):
                     reply(problem(404, "no_such_zone", f"zone {zone} is none of the settings"))
                     return
-                door.evacuate(zone, method == "POST", self.ending(reply))
+                door.calls.evacuate(zone, method == "POST", self.ending(reply))
             case ("DELETE", ["-", "core", ip]) if "control" in self.roles:
-                door.retire(ip, self.ending(reply))
+                door.calls.retire(ip, self.ending(reply))
             case (
                 _,
                 [
@@ -163,7 +145,7 @@
 
     def put(self, body: bytes, reply: Reply) -> None:
         try:
-            self.door.put(body, self.ending(reply))
+            self.door.calls.put(body, self.ending(reply))
         except Invalid as error:
             log.say("desk", "refused a configuration", problem=error)
             reply(problem(400, error.code, str(error)))
--- a/hive/door.py
+++ b/hive/door.py
@@ -7,24 +7,24 @@
 import secrets
 import time
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 import cbor2
 
 from comb.change import Held, take
-from comb.check import check_change
 from comb.store import Store, StoreError
 from comb.word import Word
 from forage.fleet import Fleet
 from forage.gate import Forager, Tick
-from hive.desk import Desk, Settled
+from hive.desk import Desk
 from hive.front import Carrier, Front
 from hive.list_reader import ListReader
 from hive.log import log
 from hive.mesh import Mesh
 from hive.node_metrics import collect, render
+from hive.operator_calls import OperatorCalls
 from hive.servers import Servers
 from hive.settings import Settings
 from ivymux.config import Address, parse_address
@@ -51,8 +51,6 @@
 DISK_AGAIN = 1.0  # seconds until a disk that could not be read is tried again
 LAST = 0.5  # seconds before the end of the grace period at which this process ends
 
-Reply = Callable[[Settled], None]
-
 
 class Door:
     def __init__(self, settings: Settings) -> None:
@@ -64,8 +62,7 @@
         self.disk = ThreadPoolExecutor(1, thread_name_prefix="comb") if self.store is not None else None
         self.word: Word | None = None
         self.held: Held | None = None  # the same, with what it was read from
-        self.token = 0
-        self.replies: dict[int, Reply] = {}
+        self.calls = OperatorCalls(self.loop.time, lambda: self.core, lambda: self.held, self.carry_out)
         self.draining = False
         self.reported: Counter[str] = Counter()
         self.reported_at = 0.0
@@ -128,8 +125,7 @@
         while records is None:
             await asyncio.sleep(DISK_AGAIN)
             records = await self.read_disk()
-        for token in list(self.replies):
-            self.done(Done(token, False, "the disk was taken up"))
+        self.calls.fail_all("the disk was taken up")
         self.life += 1
         self.core = self.make_core(records, False)
         for what in (WORD, ZONES):
@@ -235,7 +231,7 @@
                 case Granted() | Lapsed():
                     self.carrier.post(deed)  # type: ignore[arg-type]
                 case Done():
-                    self.done(deed)
+                    self.calls.done(deed)
                 case Danced():
                     self.forager.fleet.danced(self.loop.time(), deed.door, deed.outs)
 
@@ -298,35 +294,6 @@
         count, version = len(table.servers), table.version
         log.say("waggle", "uses a table", service=service, version=version, servers=count, draining=draining)
 
-    def order(self, begin: Callable[[int], list[Deed]], reply: Reply) -> None:
-        self.token += 1
-        self.replies[self.token] = reply
-        self.carry_out(begin(self.token))
-
-    def put(self, body: bytes, done: Reply) -> None:
-        """Raises comb.check.Invalid."""
-        checked = check_change(body, self.held)
-        self.order(lambda token: self.core.put(self.loop.time(), token, body, checked), done)
-
-    def read(self, done: Reply) -> None:
-        self.order(lambda token: self.core.read(self.loop.time(), token), done)
-
-    def evacuate(self, zone: str, closed: bool, done: Reply) -> None:
-        self.order(lambda token: self.core.evacuate(self.loop.time(), token, zone, closed), done)
-
-    def retire(self, ip: str, done: Reply) -> None:
-        self.order(lambda token: self.core.retire(self.loop.time(), token, ip), done)
-
-    def done(self, deed: Done) -> None:
-        reply = self.replies.pop(deed.token, None)
-        if reply is None:
-            return
-        if not deed.good:
-            log.say(
-                "desk", "refused an order" if deed.conflict else "could not settle an order", why=deed.why
-            )
-        reply(Settled(deed.good, deed.conflict, deed.why, deed.word or b""))
-
     # --- others ---------------------------------------------------------------------------------------------
 
     async def poll(self, number: int) -> None:
