Let no unforeseen error end what is to be done again and again

Ruled out: ending the process on such an error, as what it holds would be lost each time and the same input would end the next life too.

--- a/hive/__main__.py
+++ b/hive/__main__.py
@@ -15,6 +15,7 @@
 from hive import log, rescue
 from hive.door import Door
 from hive.settings import Settings, SettingsError, load
+from ivymux.periodic import Periodic
 
 LOOK = 1.0  # seconds between looks whether the settings file has changed: what it may change is needed seldom
 
@@ -44,10 +45,6 @@
         except SettingsError as error:
             log.log.say("hive", "new settings cannot be used", problem=error)
 
-    def keep_looking(self, loop: asyncio.AbstractEventLoop) -> None:
-        self.look()
-        loop.call_later(LOOK, self.keep_looking, loop)
-
 
 async def serve(settings: Settings, path: str) -> None:
     loop = asyncio.get_running_loop()
@@ -58,7 +55,7 @@
     watched = Watched(path, door.reload)
     loop.add_signal_handler(signal.SIGHUP, watched.look, True)
     await door.start()
-    watched.keep_looking(loop)
+    Periodic(loop, LOOK, watched.look, lambda error: door.supervisor.failed("look at the settings", error))
     gc.collect()
     gc.freeze()  # what lives as long as the process need not be looked at again
     await stop.wait()
--- a/hive/door.py
+++ b/hive/door.py
@@ -7,7 +7,6 @@
 import secrets
 import time
 from collections import Counter
-from collections.abc import Coroutine
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
@@ -27,8 +26,10 @@
 from hive.operator_calls import OperatorCalls
 from hive.servers import Servers
 from hive.settings import Settings
+from hive.supervisor import Supervisor
 from ivymux.config import Address, parse_address
 from ivymux.metrics import Counts
+from ivymux.periodic import Periodic
 from ivymux.pool import PER_BACKEND
 from nectar.credits import Call, Granted, Lapsed
 from queenless.control import MEMBERS, WORD, ZONES
@@ -67,8 +68,7 @@
         self.reported: Counter[str] = Counter()
         self.reported_at = 0.0
         self.core_ticked = self.fresh_at = -1e9
-        self.tasks: set[asyncio.Task[Any]] = set()
-        self.task_failures: Counter[str] = Counter()  # by the task's name
+        self.supervisor = Supervisor(self.loop)
         self.list_reader = ListReader(settings.platform, settings.platform_rate)
         most = settings.descriptors - OTHER_FILES
         fleet = Fleet(settings.zone, settings.region, settings.zones, random.Random(self.life))
@@ -96,7 +96,7 @@
         records = await self.read_disk()
         self.core = self.make_core(records, settings.first)
         if records is None:
-            self.task("await the disk", self.await_disk())
+            self.supervisor.start("await the disk", self.await_disk())
         self.changed(WORD)
         self.changed(ZONES)
         await self.mesh.start()
@@ -105,6 +105,9 @@
         told, name, first = self.core.control.register.told(), settings.name, settings.first
         log.say("hive", "started", name=name, disk=bool(self.core.me.disk), first=first, **told)
         self.tick()
+        self.ticker = Periodic(
+            self.loop, self.until_tick, self.tick, lambda error: self.supervisor.failed("tick", error)
+        )
 
     async def read_disk(self) -> dict[str, bytes] | None:
         """What the disk holds; None where it does not say.  It is not taken for an empty one then."""
@@ -115,6 +118,9 @@
         except StoreError as error:
             log.say("comb", "cannot read the disk, goes on without it", error=error)
             return None
+        except Exception as error:  # who awaits the disk tries again
+            self.supervisor.failed("read the disk", error)
+            return None
         while self.store.aside:
             log.say("comb", "put aside what could not be read", what=self.store.aside.pop())
         return records
@@ -156,14 +162,20 @@
 
     def tick(self) -> None:
         now = self.loop.time()
-        calm = CALM if self.core.ready and self.store is None else TICK  # else duties or a start wait for it
-        if now - self.core_ticked > calm - TICK / 2:
+        if now - self.core_ticked > self.calm() - TICK / 2:
             self.core_ticked = now
-            self.core_tick(now)
+            self.supervisor.guard("core tick", lambda: self.core_tick(now))
         self.carrier.post(Tick())  # type: ignore[arg-type]
         fleet = self.forager.fleet
         self.carry_out(self.core.herald.dance(now, fleet.outs(), fleet.dances))
-        self.timer = self.loop.call_later(TICK if self.forager.jobs else calm, self.tick)
+
+    def calm(self) -> float:
+        """Seconds between looks at the core."""
+        return CALM if self.core.ready and self.store is None else TICK  # else duties or a start wait for it
+
+    def until_tick(self) -> float:
+        """Seconds until the next tick."""
+        return TICK if self.forager.jobs else self.calm()
 
     def core_tick(self, now: float) -> None:
         self.freshen(now)
@@ -218,46 +230,42 @@
         return known and not self.draining and self.loop.time() <= sure
 
     def carry_out(self, deeds: list[Deed]) -> None:
+        """One that fails does not keep the others from being carried out: a save or an answer may be among them."""
         for deed in deeds:
-            match deed:
-                case Send():
-                    self.mesh.send(deed.to, deed.message)
-                case Save():
-                    self.task("save", self.save(deed))
-                case Changed():
-                    self.changed(deed.what)
-                case Poll():
-                    self.task("read the list", self.poll(deed.number))
-                case Granted() | Lapsed():
-                    self.carrier.post(deed)  # type: ignore[arg-type]
-                case Done():
-                    self.calls.done(deed)
-                case Danced():
-                    self.forager.fleet.danced(self.loop.time(), deed.door, deed.outs)
-
-    def task(self, name: str, work: Coroutine[Any, Any, None]) -> None:
-        """Run something beside all else; `name` says what, should it fail."""
-        task = self.loop.create_task(work, name=name)
-        self.tasks.add(task)
-        task.add_done_callback(self.ended)
-
-    def ended(self, task: asyncio.Task[Any]) -> None:
-        self.tasks.discard(task)
-        if not task.cancelled() and (error := task.exception()) is not None:
-            self.task_failures[task.get_name()] += 1
-            log.failed("hive", "a task failed", error, task=task.get_name())
+            try:
+                self.carry_out_one(deed)
+            except Exception as error:
+                self.supervisor.failed(type(deed).__name__, error)
+
+    def carry_out_one(self, deed: Deed) -> None:
+        match deed:
+            case Send():
+                self.mesh.send(deed.to, deed.message)
+            case Save():
+                self.supervisor.start("save", self.save(deed))
+            case Changed():
+                self.changed(deed.what)
+            case Poll():
+                self.supervisor.start("read the list", self.poll(deed.number))
+            case Granted() | Lapsed():
+                self.carrier.post(deed)  # type: ignore[arg-type]
+            case Done():
+                self.calls.done(deed)
+            case Danced():
+                self.forager.fleet.danced(self.loop.time(), deed.door, deed.outs)
 
     # --- the operator's word -----------------------------------------------------------------------------------
 
     async def save(self, save: Save) -> None:
         assert self.store is not None and self.disk is not None
-        core = self.core
+        core, good = self.core, False
         try:
             await self.loop.run_in_executor(self.disk, self.store.save, save.records)
             good = True
         except StoreError as error:
             log.say("comb", "could not save", records=",".join(save.records), error=error)
-            good = False
+        except Exception as error:  # the core waits for every save to end
+            self.supervisor.failed("save", error)
         if core is self.core:
             self.carry_out(core.saved(self.loop.time(), save.serial, good))
 
@@ -357,7 +365,7 @@
         await self.close()
 
     async def close(self) -> None:
-        self.timer.cancel()
+        self.ticker.cancel()
         self.carrier.answer_all()
         self.front.close()
         for desk in self.desks:
@@ -367,7 +375,6 @@
         self.mesh.close()
         self.list_reader.close()
         self.servers.close()
-        for task in self.tasks:
-            task.cancel()
+        self.supervisor.close()
         if self.store is not None and self.disk is not None:
             self.disk.shutdown(wait=False, cancel_futures=True)
--- a/hive/node_metrics.py
+++ b/hive/node_metrics.py
@@ -50,8 +50,8 @@
         yield Sample("requests_not_served_total", count, (("reason", reason),))
     for kind, count in door.core.dropped.items():
         yield Sample("messages_dropped_total", count, (("kind", kind),))
-    for task, count in door.task_failures.items():
-        yield Sample("task_failures_total", count, (("task", task),))
+    for name, count in (door.supervisor.failures + door.counts.failures).items():
+        yield Sample("failures_total", count, (("what", name),))
 
 
 def server_list(door: Door, now: float) -> Iterator[Sample]:
--- a/hive/operator_calls.py
+++ b/hive/operator_calls.py
@@ -80,4 +80,9 @@
     def _begin(self, begin: Callable[[int], list[Deed]], reply: Reply) -> None:
         self.token += 1
         self.replies[self.token] = reply
-        self.carry_out(begin(self.token))
+        try:
+            deeds = begin(self.token)
+        except Exception:
+            del self.replies[self.token]  # its caller hears of the error
+            raise
+        self.carry_out(deeds)
--- /dev/null
+++ b/hive/supervisor.py
@@ -0,0 +1,59 @@
+"""Keeps an unforeseen error from ending more than what it arose in: each is counted, logged and passed over."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from hive.log import log
+
+CALLBACK = "callback"  # the name under which errors of the event loop's own callbacks are counted
+
+
+class Supervisor:
+    """Runs tasks and calls by name; `failures` counts how often each ended by an error."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.failures: Counter[str] = Counter()
+        self.tasks: set[asyncio.Task[Any]] = set()
+        loop.set_exception_handler(self._callback_failed)
+
+    def start(self, name: str, work: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine beside all else."""
+        task = self.loop.create_task(work, name=name)
+        self.tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def guard(self, name: str, call: Callable[[], object]) -> None:
+        """Make a call that must not keep its caller from going on."""
+        try:
+            call()
+        except Exception as error:
+            self.failed(name, error)
+
+    def failed(self, name: str, error: BaseException) -> None:
+        """Something ended by an error that nobody foresaw."""
+        self.failures[name] += 1
+        log.failed("hive", "failed", error, what=name)
+
+    def close(self) -> None:
+        """Cancel the tasks that still run."""
+        for task in self.tasks:
+            task.cancel()
+
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self.failed(task.get_name(), error)
+
+    def _callback_failed(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """The event loop's handler: an error in a callback, or of a task that nobody awaited."""
+        error = context.get("exception")
+        if isinstance(error, BaseException):
+            self.failed(CALLBACK, error)
+        else:
+            self.failures[CALLBACK] += 1
+            log.say("hive", "failed", what=CALLBACK, error=context.get("message", ""))
--- a/ivymux/caller.py
+++ b/ivymux/caller.py
@@ -16,6 +16,7 @@
 from ivymux.host import Answer, Open
 from ivymux.link import READ, SMALL, Flow, Link
 from ivymux.metrics import Counts
+from ivymux.periodic import Periodic
 from ivymux.upstream import STALLED
 
 MOST_BODY = 40 << 20  # bytes of a request's body: 32 MB come
@@ -518,7 +519,7 @@
         self.held = 0
         self.stopping = False
         self.server: asyncio.Server | None = None
-        self.timer = self.loop.call_later(SWEEP, self.sweep)
+        self.sweeper = Periodic(self.loop, SWEEP, self.sweep, self.sweep_failed)
 
     async def start(self) -> None:
         if self.passed is None:
@@ -574,8 +575,13 @@
     def sweep(self) -> None:
         now = time.monotonic()
         for client in list(self.clients):
-            client.look(now)
-        self.timer = self.loop.call_later(SWEEP, self.sweep)
+            try:
+                client.look(now)
+            except Exception as error:  # the others are looked at all the same
+                self.sweep_failed(error)
+
+    def sweep_failed(self, error: Exception) -> None:
+        self.host.counts.failed("sweep of clients", error)
 
     def stop_listening(self) -> None:
         """No new connections; those that are open end with their next answer."""
@@ -601,7 +607,7 @@
                 client.transport.close()
 
     def close(self) -> None:
-        self.timer.cancel()
+        self.sweeper.cancel()
         for client in list(self.clients):
             if client.transport is not None:
                 client.transport.close()
--- a/ivymux/counter.py
+++ b/ivymux/counter.py
@@ -16,6 +16,7 @@
 from ivymux.config import Address
 from ivymux.discovery import jittered
 from ivymux.metrics import Counts
+from ivymux.periodic import Periodic
 from orchidhill.interface import Count, Counted, Outcome
 
 LINES = 4  # connections; the counter holds 32 of a front door
@@ -119,7 +120,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 await self.owner.loop.create_connection(lambda: self, address.host, address.port)
-        except (OSError, TimeoutError):
+        except Exception as error:
+            if not isinstance(error, OSError | TimeoutError):
+                self.owner.counts.failed("connect to the counter", error)
             self.connecting = False
             self.fail_held()
             self.owner.loop.call_later(jittered(self.wait), self.connect)
@@ -222,7 +225,7 @@
         self.lines = [Line(self) for _ in range(LINES)]
         for line in self.lines:
             line.connect()
-        self.watch = self.loop.call_later(PING_AFTER / 2, self.look)
+        self.watch = Periodic(self.loop, PING_AFTER / 2, self.look, self.look_failed)
 
     def tried(self) -> None:
         if not self.ready.done():
@@ -241,7 +244,10 @@
                 if (left := call.began + self.timeout - now) > 0:
                     self.timer = self.loop.call_later(left, self.expire)
                     return
-                line.expire(call)
+                try:
+                    line.expire(call)
+                except Exception as error:  # the calls behind it expire all the same
+                    self.counts.failed("expiry of a counter call", error)
             self.expiring.popleft()
         self.timer = None
 
@@ -260,7 +266,9 @@
         now = time.monotonic()
         for line in self.lines:
             line.look(now)
-        self.watch = self.loop.call_later(PING_AFTER / 2, self.look)
+
+    def look_failed(self, error: Exception) -> None:
+        self.counts.failed("watch of the counter", error)
 
     def close(self) -> None:
         self.closed = True
--- a/ivymux/discovery.py
+++ b/ivymux/discovery.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import logging
 import random
@@ -201,8 +200,11 @@
             await asyncio.sleep(jittered(min(bound * self.askers, self.ask_within / 2)))
         while True:
             began, status = time.monotonic(), 0
-            with contextlib.suppress(OSError, TimeoutError):
+            try:
                 status = await self.watch()
+            except Exception as error:  # it is watched again, whatever has ended a watch
+                if not isinstance(error, OSError | TimeoutError):
+                    self.counts.failed("watch of discovery", error)
             self.counts.watches[status] += 1
             # A refusal is no watch that was well, however long it was in coming: the calls are too many.
             well = status == 200 and time.monotonic() - began > LASTED
--- a/ivymux/handover.py
+++ b/ivymux/handover.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from ivymux.periodic import Periodic
 from orchidhill.interface import Attached, Detached, Processes
 
 LOOK = 0.05  # seconds between looks at the folder: a ban binds 0.25 s after its call, in both processes
@@ -44,7 +45,7 @@
                 log.warning("handover: nothing can be shared: %s", error)
         self.recall()
         self.look()
-        self.timer = self.loop.call_later(LOOK, self.again)
+        self.timer = Periodic(self.loop, LOOK, self.look, self.look_failed)
 
     def file(self, kind: str, backend: int) -> Path | None:
         return self.folder / f"{kind}-{backend:08x}" if self.folder is not None else None
@@ -75,9 +76,8 @@
                 self.post(Detached(backend))
                 self.post(Attached(backend, self.called_back(backend)))
 
-    def again(self) -> None:
-        self.look()
-        self.timer = self.loop.call_later(LOOK, self.again)
+    def look_failed(self, error: Exception) -> None:
+        log.error("handover: a look at other processes failed", exc_info=error)
 
     def look(self) -> None:
         """Learn of the bans on file, whichever process was called."""
--- a/ivymux/metrics.py
+++ b/ivymux/metrics.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import bisect
+import logging
 import os
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator, Mapping
 from typing import TYPE_CHECKING, Any
 
@@ -21,6 +22,8 @@
 
 Tally = defaultdict[str, int]
 
+log = logging.getLogger(__name__)
+
 
 class Counts:
     """Each is added to where it happens; nothing else is done there."""
@@ -40,6 +43,9 @@
         self.lists: Tally = defaultdict(int)
         self.watches: defaultdict[int, int] = defaultdict(int)  # that ended, by their answer's status
         self.log_dropped = 0
+        self.failures: Counter[str] = (
+            Counter()
+        )  # activities that an error nobody foresaw has cut short, by name
         self.lags = [0] * (len(LAGS) + 1)
         self.lag_sum = self.lag_most = 0.0
 
@@ -51,6 +57,11 @@
             self.classes.add(name)
         return name
 
+    def failed(self, name: str, error: BaseException) -> None:
+        """An activity ended by an error that nobody foresaw; it goes on with its next turn."""
+        self.failures[name] += 1
+        log.error("%s failed", name, exc_info=error)
+
     def answered(self) -> int:
         return sum(self.requests.values())
 
@@ -145,6 +156,7 @@
         yield total("counter_connections_opened", "Connections opened to the counter.", c.counter_opened)
         yield counter("lists", "Lists and changes heard from discovery.", ("kind",), c.lists)
         yield counter("watches_ended", "Watches that ended, by status; 0: no answer.", ("status",), c.watches)
+        yield counter("failures", "Activities cut short by an unforeseen error.", ("what",), c.failures)
         yield total("log_lines_dropped", "Log lines beyond the most in a second.", c.log_dropped)
         for name, text, label, values in self.gauges:
             family = GaugeMetricFamily(f"ivymux_{name}", text, labels=(label,) if label else ())
--- a/ivymux/pool.py
+++ b/ivymux/pool.py
@@ -75,7 +75,9 @@
                 _, link = await self.owner.loop.create_connection(
                     lambda: self.make(self), self.address.host, self.address.port
                 )
-        except (OSError, TimeoutError):
+        except Exception as error:
+            if not isinstance(error, OSError | TimeoutError):
+                self.owner.counts.failed("connect to a server", error)
             self.connecting -= 1
             self.owner.open -= 1
             self.failed()
--- a/ivymux/upstream.py
+++ b/ivymux/upstream.py
@@ -9,6 +9,7 @@
 from ivymux.config import Address
 from ivymux.link import Attempt, Link, Result
 from ivymux.metrics import Counts
+from ivymux.periodic import Periodic
 from ivymux.pool import PER_BACKEND, Pool
 from orchidhill.interface import Outcome
 
@@ -37,7 +38,7 @@
         self.pools: dict[int, Pool] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.open = 0  # connections and attempts to connect
-        self.timer = self.loop.call_later(SWEEP, self.sweep)
+        self.sweeper = Periodic(self.loop, SWEEP, self.sweep, self.sweep_failed)
 
     def retune(self, connect_timeout: float, conn_idle: float, columns: tuple[str, ...]) -> None:
         self.connect_timeout, self.columns = connect_timeout, columns
@@ -122,14 +123,19 @@
 
     def sweep(self) -> None:
         """Retire idle connections well before the backend does: a request that crosses its close is lost."""
-        for pool in self.pools.values():
-            for link in list(pool.links):
-                link.look(time.monotonic() - STALLED)
-            pool.retire(time.monotonic(), self.keep_idle)
-        self.timer = self.loop.call_later(SWEEP, self.sweep)
+        for pool in list(self.pools.values()):
+            try:
+                for link in list(pool.links):
+                    link.look(time.monotonic() - STALLED)
+                pool.retire(time.monotonic(), self.keep_idle)
+            except Exception as error:  # the other pools are looked at all the same
+                self.sweep_failed(error)
+
+    def sweep_failed(self, error: Exception) -> None:
+        self.counts.failed("sweep of connections", error)
 
     def close(self) -> None:
-        self.timer.cancel()
+        self.sweeper.cancel()
         for task in self.tasks:
             task.cancel()
         for pool in self.pools.values():
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -497,7 +497,7 @@
             assert backend.open == 1
             pool = door.host.upstream.pools[FIRST]
             pool.idle[0].idle_since -= 16.0  # the backends' idle time is 30 s
-            door.host.upstream.timer.cancel()
+            door.host.upstream.sweeper.cancel()
             door.host.upstream.sweep()
             await until(lambda: backend.open == 0)
             assert not pool.links and door.host.upstream.open == 0
--- /dev/null
+++ b/tests/test_unforeseen_errors.py
@@ -0,0 +1,245 @@
+"""Errors of types that nobody foresaw: none of them ends for good what is to be done again and again (incident 42)."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from functools import partial
+from pathlib import Path
+from typing import Any, cast
+
+import pytest
+
+from apiary.stands import Stands
+from apiary.yard import Yard, configuration
+from hive.door import Door
+from hive.settings import load
+from ivymux.caller import Client, Listener
+from ivymux.config import parse_address
+from ivymux.counter import LINES, Counter
+from ivymux.discovery import Discovery, Names
+from ivymux.link import Attempt, Result
+from ivymux.metrics import Counts
+from ivymux.periodic import Periodic
+from ivymux.upstream import Upstream
+from orchidhill.interface import Count, Outcome
+from queenless.deeds import Changed
+from queenless.order import Done
+
+from .sockets import Backend, Tally, listening, run, until
+
+ZONES, KINDS = ("a", "b"), ("big",)
+
+
+class Unforeseen(Exception):
+    """Of no type that any of the code names."""
+
+
+def fail(*_: Any, **__: Any) -> Any:
+    raise Unforeseen
+
+
+def test_a_periodic_call_is_made_again_after_an_error_and_not_once_it_is_cancelled() -> None:
+    async def test() -> None:
+        loop, errors, calls = asyncio.get_running_loop(), list[Exception](), list[int]()
+
+        def call() -> None:
+            calls.append(len(calls))
+            if len(calls) == 3:
+                periodic.cancel()
+            raise Unforeseen
+
+        periodic = Periodic(loop, lambda: 0.001, call, errors.append)
+        await until(lambda: len(calls) == 3)
+        await asyncio.sleep(0.01)
+        assert len(calls) == len(errors) == 3
+
+    run(test())
+
+
+def test_a_client_that_cannot_be_looked_at_keeps_no_other_from_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    class Desk:
+        counts = Counts()
+
+    class Seen:
+        looks = 0
+
+        def look(self, now: float) -> None:
+            self.looks += 1
+
+    class Bad:
+        look = fail
+
+    async def test() -> None:
+        monkeypatch.setattr("ivymux.caller.SWEEP", 0.001)
+        listener = Listener(parse_address("127.0.0.1:1"), None, cast(Any, Desk()), 10)
+        good = [Seen() for _ in range(4)]
+        listener.clients = cast("set[Client]", {*good, Bad()})
+        await until(lambda: all(one.looks > 2 for one in good))
+        assert Desk.counts.failures["sweep of clients"] > 1
+        listener.sweeper.cancel()
+
+    run(test())
+
+
+def test_a_connection_that_fails_in_a_new_way_takes_no_place_for_good(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        counts, results = Counts(), list[Result]()
+        async with listening(Backend().handle) as dial:
+            made = Upstream(0.5, 30.0, (), 100, counts)
+            made.place(1, parse_address(dial), 0.0)
+            with monkeypatch.context() as patch:
+                patch.setattr(made.loop, "create_connection", fail)
+                made.start(1, 5.0, Attempt(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", results.append))
+                await until(lambda: results)
+            assert results[0].outcome is Outcome.CONNECT_FAILED
+            assert made.open == made.pools[1].connecting == 0
+            assert counts.failures["connect to a server"] == 1
+            made.start(1, 5.0, Attempt(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", results.append))
+            await until(lambda: len(results) == 2)
+            assert results[1].outcome is Outcome.OK
+            made.close()
+
+    run(test())
+
+
+def test_the_counter_is_connected_to_again_after_an_error_of_a_new_kind(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        counts, heard = Counts(), list[Any]()
+        async with listening(Tally().handle) as dial:
+            with monkeypatch.context() as patch:
+                patch.setattr(asyncio.get_running_loop(), "create_connection", fail)
+                counter = Counter(parse_address(dial), 5.0, heard.append, counts)
+                await until(lambda: counts.failures["connect to the counter"] >= LINES)
+            await until(lambda: counts.counter_opened == LINES)
+            counter.add(Count(8, 1.0, 4.0))
+            await until(lambda: heard)
+            assert heard[0].outcome is Outcome.OK
+            counter.close()
+
+    run(test())
+
+
+def test_discovery_is_watched_again_after_an_error_of_a_new_kind(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        asked = list[bytes]()
+
+        async def agent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            asked.append(await reader.readuntil(b"\r\n\r\n"))
+            await reader.read()
+
+        async with listening(agent) as dial:
+            with monkeypatch.context() as patch:
+                patch.setattr(asyncio.get_running_loop(), "create_connection", fail)
+                discovery = Discovery(parse_address(dial), Names(ZONES, KINDS), 0, lambda *_: None)
+                await until(lambda: discovery.counts.failures["watch of discovery"])
+            await until(lambda: asked)
+            discovery.close()
+
+    run(test())
+
+
+def with_door(folder: Path, play: Callable[[Door], Awaitable[None]]) -> None:
+    """Play something at a door that is alone, on loopback, with a disk and a stand-in platform."""
+
+    async def test() -> None:
+        yard = Yard(folder, core=1, others=0, servers=1, nth=9)
+        stands = Stands(yard.platform, yard.servers)
+        await stands.start()
+        door = Door(load(str(yard.settings(0, first=True))))
+        await door.start()
+        try:
+            await until(door.core.settled)
+            await play(door)
+        finally:
+            await door.close()
+            stands.close()
+
+    run(test())
+
+
+def test_a_door_goes_on_ticking_whatever_fails_in_a_tick(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play(door: Door) -> None:
+        def failed_again(what: str, before: int) -> bool:
+            return door.supervisor.failures[what] > before + 1
+
+        for owner, name, what in (
+            (door.core, "tick", "core tick"),
+            (door.core.herald, "dance", "tick"),
+            (door, "freshen", "core tick"),
+        ):
+            with monkeypatch.context() as patch:
+                patch.setattr(owner, name, fail)
+                before = door.supervisor.failures[what]
+                await until(partial(failed_again, what, before))
+        ticked = door.core_ticked
+        await until(lambda: door.core_ticked > ticked)
+        assert f'what="tick"}} {door.supervisor.failures["tick"]}' in door.metrics().decode()
+
+    with_door(tmp_path, play)
+
+
+def test_what_a_core_wants_done_is_done_whatever_fails_before_it(tmp_path: Path) -> None:
+    async def play(door: Door) -> None:
+        ends = list[bool]()
+        door.calls.replies[77] = lambda settled: ends.append(settled.good)
+        door.carry_out([Changed("service:unknown"), Done(77, True, "")])
+        assert ends == [True] and door.supervisor.failures["Changed"] == 1
+
+    with_door(tmp_path, play)
+
+
+def test_a_save_that_fails_in_a_new_way_is_made_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play(door: Door) -> None:
+        ends = list[bool]()
+        with monkeypatch.context() as patch:
+            patch.setattr(door.store, "save", fail)
+            door.calls.put(configuration(3), lambda settled: ends.append(settled.good))
+            await until(lambda: door.supervisor.failures["save"] > 1)
+            assert not ends
+        await until(lambda: ends)
+        assert ends == [True] and door.word is not None and door.word.number == 3
+
+    with_door(tmp_path, play)
+
+
+def test_an_order_that_cannot_be_begun_is_not_waited_for(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play(door: Door) -> None:
+        with monkeypatch.context() as patch:
+            patch.setattr(door.core, "put", fail)
+            with pytest.raises(Unforeseen):
+                door.calls.put(configuration(3), lambda settled: None)
+        assert not door.calls.replies
+
+    with_door(tmp_path, play)
+
+
+def test_a_disk_that_cannot_be_read_in_a_new_way_is_read_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play(door: Door) -> None:
+        assert door.store is not None
+        with monkeypatch.context() as patch:
+            patch.setattr(door.store, "load", fail)
+            assert await door.read_disk() is None
+        assert await door.read_disk()
+
+    with_door(tmp_path, play)
+
+
+def test_an_error_in_a_callback_of_the_loop_is_counted(tmp_path: Path) -> None:
+    async def play(door: Door) -> None:
+        door.loop.call_soon(fail)
+        await until(lambda: door.supervisor.failures["callback"])
+
+    with_door(tmp_path, play)
