Check in the code that the list is read by its holder and known at every node in touch

Need: the incident's invariant: nobody saw for 80 s that no node knew anything newer of servers. Change: queenless/list_freshness.py: answers to heartbeats tell how old the knowledge of the list is at most, one field of three bytes; queenless/invariants.py looks each 0.4 s at list_read (holder) and list_known (any node that the whole core has answered for inTouchMs), counts and logs each violation; /-/metrics has both, the age, and requests sent meanwhile. On in every test on simulated time, where a violation is a breach.

--- a/forage/gate.py
+++ b/forage/gate.py
@@ -110,6 +110,8 @@
         self.fresh_until = 0.0  # keyed requests are let in until then
         self.doors = 1  # that share the allowance
         self.leaving = False  # this door ends soon: what a server is at work on is waited for
+        self.list_known = True  # the list of servers is as new as the rules want it
+        self.on_old_list = 0  # requests that went to a server while it was not
         self.ends: Counter[str] = Counter()  # requests that were not served, by why
         self.settings = Told(i.Limits(8, True, True, False, True, 30.0, 0.3))
         self.now = 0.0
@@ -229,6 +231,7 @@
         if server is None or left < LEAST_LEFT or expected > left:
             self.give_up(job)
             return
+        self.on_old_list += not self.list_known
         job.tried.add(server.number)
         job.sent += 1
         job.out += 1
--- a/hive/door.py
+++ b/hive/door.py
@@ -34,7 +34,8 @@
 from nectar.credits import Call, Granted, Lapsed
 from queenless.control import MEMBERS, WORD, ZONES
 from queenless.core import Core, Start
-from queenless.deeds import Changed, Danced, Deed, Poll, Save, Send
+from queenless.deeds import Changed, Danced, Deed, Poll, Save, Send, Violated
+from queenless.invariants import LIST_KNOWN
 from queenless.order import Done
 from swarm.peers import About
 
@@ -143,7 +144,7 @@
         settings = self.settings
         disk = self.life if self.store is not None and records is not None else 0
         about = About(settings.ip, settings.zone, settings.region, disk, self.life)
-        start = Start(about, list(settings.seeds), first, records or {}, settings.link)
+        start = Start(about, list(settings.seeds), first, records or {}, settings.link, settings.invariants)
         try:
             return Core(self.loop.time(), start, settings.rule.quota.window, self.limit_of)
         except (ValueError, cbor2.CBORDecodeError) as error:
@@ -182,6 +183,7 @@
         self.core.ready = self.ready()
         self.carry_out(self.core.tick(now))
         self.forager.doors = self.core.peers.most_doors
+        self.forager.list_known = LIST_KNOWN not in self.core.invariants.violated
         self.servers.per_backend = self.connections()
         self.list_reader.log_role(self.core.list_duty.holds(now))
         self.report(now)
@@ -253,6 +255,8 @@
                 self.calls.done(deed)
             case Danced():
                 self.forager.fleet.danced(self.loop.time(), deed.door, deed.outs)
+            case Violated():
+                log.say("hive", "an invariant is violated", name=deed.name)
 
     # --- the operator's word -----------------------------------------------------------------------------------
 
--- a/hive/node_metrics.py
+++ b/hive/node_metrics.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from queenless.invariants import LIST_KNOWN, LIST_READ
+
 if TYPE_CHECKING:
     from hive.door import Door
 
@@ -46,6 +48,10 @@
     yield Sample("configuration_fresh_seconds", door.forager.fresh_until - now)
     yield Sample("core_member", door.core.control.seated())
     yield from server_list(door, now)
+    for name in (LIST_READ, LIST_KNOWN):
+        count = door.core.invariants.violations[name]
+        yield Sample("invariant_violations_total", count, (("name", name),))
+    yield Sample("requests_on_old_list_total", door.forager.on_old_list)
     for reason, count in door.forager.ends.items():
         yield Sample("requests_not_served_total", count, (("reason", reason),))
     for kind, count in door.core.dropped.items():
@@ -58,6 +64,7 @@
     """Who reads the platform's list, when it was last read, and what is known of each service's servers."""
     reader = door.list_reader
     yield Sample("list_reader", door.core.list_duty.holds(now))
+    yield Sample("list_age_seconds", door.core.freshness.age(now))
     yield Sample("list_reads_total", reader.reads, (("result", "read"),))
     yield Sample("list_reads_total", reader.failures, (("result", "failed"),))
     if reader.read_at is not None:
--- a/hive/settings.py
+++ b/hive/settings.py
@@ -12,6 +12,7 @@
 from forage.gate import Rule
 from ivymux.config import Address, ConfigError, parse_address
 from nectar.bounds import QuotaRule
+from queenless.invariants import InvariantBounds
 
 
 class SettingsError(ValueError):
@@ -83,6 +84,8 @@
 
 
 class Bounds(Lenient):
+    drainCutoffMs = fields.Float(load_default=3000.0, validate=validate.Range(min=0))
+    inTouchMs = fields.Float(load_default=4000.0, validate=validate.Range(min=0))
     revocationMs = fields.Float(load_default=5000.0, validate=validate.Range(min=500))
     closedRevocation = fields.Boolean(load_default=True)
     gracePeriodS = fields.Float(load_default=6.0, validate=validate.Range(min=1))
@@ -124,6 +127,7 @@
     grace: float
     lifetime: float
     rule: Rule
+    invariants: InvariantBounds
 
 
 class File(Lenient):
@@ -181,6 +185,7 @@
             bounds["gracePeriodS"],
             bounds["ttl_max_s"],
             rule,
+            InvariantBounds(bounds["drainCutoffMs"] / 1000, bounds["inTouchMs"] / 1000),
         )
 
 
--- a/queenless/beats.py
+++ b/queenless/beats.py
@@ -7,6 +7,7 @@
 
 from queenless.control import Control
 from queenless.deeds import Message
+from queenless.list_freshness import UNIT, ListFreshness
 from swarm.duties import Duties
 from swarm.peers import About, Peer, Peers
 from waggle.news import News
@@ -26,8 +27,17 @@
 class Beats:
     """Makes the beats of one door, answers those of others, and notes what the answers tell."""
 
-    def __init__(self, peers: Peers, control: Control, duties: Duties, news: News, began: float) -> None:
+    def __init__(
+        self,
+        peers: Peers,
+        control: Control,
+        duties: Duties,
+        news: News,
+        freshness: ListFreshness,
+        began: float,
+    ) -> None:
         self.peers, self.control, self.duties, self.news, self.began = peers, control, duties, news, began
+        self.freshness = freshness
         # beats are numbered from a number of this life's own on, so an answer to an earlier life is known by it, also
         # on a machine whose steady clock has begun anew
         self.count = hash_of(peers.me.life) * APART
@@ -141,6 +151,8 @@
             granted = [duty for duty in wants if self.duties.granter.ask(now, str(duty), who, asked)]
             if granted:
                 echo["g"] = granted
+        if (age := self.freshness.tell(now)) is not None:
+            echo["f"] = age
         state = self.state(now)  # after the grants, which it tells of
         if message["x"] != self.own_sum(state):
             echo["z"] = state
@@ -178,6 +190,8 @@
             peer.held = (state["h"]["v"], state["h"]["p"])
             peer.silent = frozenset(state.get("q", ()))
             peer.declines = frozenset(state.get("o", ()))
+        if (age := message.get("f")) is not None:
+            peer.list_read_at = asked_at - age * UNIT
         if peer.held is not None:
             self.control.told_of(about.ip, peer.held[0])
             if max(peer.held) <= self.control.register.version:
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -19,7 +19,9 @@
 from queenless.control import ASK_AGAIN, Control
 from queenless.deeds import AGREEMENT, Danced, Deed, Message, Poll, Send
 from queenless.herald import Herald, ask_for
+from queenless.invariants import InvariantBounds, Invariants
 from queenless.list_duty import LIST, ListDuty
+from queenless.list_freshness import ListFreshness
 from queenless.order import Order
 from queenless.teller import LEASE
 from swarm.duties import Duties, Who
@@ -42,6 +44,7 @@
     first: bool  # the whole system starts for the first time
     records: dict[str, bytes] = field(default_factory=dict)  # what is on disk
     link: float = math.inf  # bytes a second of this machine's own
+    bounds: InvariantBounds = field(default_factory=InvariantBounds)
 
 
 class Core:
@@ -59,9 +62,13 @@
         self.counter, self.limit = Counter(window), limit
         self.herald = Herald(self.peers, start.link)
         self.news = self.herald.news
-        self.beats = Beats(self.peers, self.control, self.duties, self.news, now)
+        self.freshness = ListFreshness(now)
+        self.beats = Beats(self.peers, self.control, self.duties, self.news, self.freshness, now)
         self.ready = False
         self.list_duty = ListDuty(self.duties)
+        self.invariants = Invariants(
+            now, start.bounds, self.peers, self.beats, self.list_duty, self.freshness
+        )
         self.level: dict[
             str, tuple[dict[str, int], dict[str, int]]
         ] = {}  # what each told, and was known, of news
@@ -138,6 +145,7 @@
             self.control.mark(DOORS, str(self.marked_doors).encode())
         self.deeds += self.control.tick(now)
         self.look(now)
+        self.deeds += self.invariants.look(now)
         return self.deeds
 
     def member(self) -> bool:
@@ -172,13 +180,14 @@
             if peer is None or ip == self.me.ip:
                 continue
             told, known = self.level.get(ip, (None, None))
-            if told is peer.news and known is self.news.versions():
-                continue
-            newer = self.news.newer(peer.news)
-            for service in newer:
-                self.ask_news(now, service, peer.news[service])
-            if not newer:
+            if told is not peer.news or known is not self.news.versions():
+                newer = self.news.newer(peer.news)
+                for service in newer:
+                    self.ask_news(now, service, peer.news[service])
+                if newer:
+                    continue
                 self.level[ip] = (peer.news, self.news.versions())
+            self.freshness.confirm(peer.list_read_at)  # what it knows is known here
 
     def ask_news(self, now: float, service: str, version: int) -> None:
         if not self.may_ask(now, f"news {service}"):
@@ -241,7 +250,9 @@
         newest = self.list_duty.end(number, found is not None)
         if found is None or not newest or not self.may_list(now):
             return []
-        return self.herald.listed(now, wall_ms, found)
+        deeds = self.herald.listed(now, wall_ms, found)
+        self.freshness.confirm(self.list_duty.read_at)
+        return deeds
 
     # --- quotas -----------------------------------------------------------------------------------------------
 
--- a/queenless/deeds.py
+++ b/queenless/deeds.py
@@ -51,4 +51,11 @@
     outs: dict[int, int]
 
 
-Deed = Send | Save | Poll | Done | Changed | Granted | Lapsed | Danced
+@dataclass(slots=True, frozen=True)
+class Violated:
+    """An invariant has ceased to hold; by its name in `queenless.invariants`."""
+
+    name: str
+
+
+Deed = Send | Save | Poll | Done | Changed | Granted | Lapsed | Danced | Violated
--- /dev/null
+++ b/queenless/invariants.py
@@ -0,0 +1,91 @@
+"""What must hold at a node while the core is whole; violations are counted by name, once each time one begins.
+
+- `list_read`: a holder of the duty to read the platform's list has read it of late, or has handed the duty on.
+- `list_known`: all that the platform's list showed `drain_cutoff` and a little before is known here.
+
+A node is in touch once every member of the core has answered it for `in_touch` seconds, in one life and from the disk
+that holds its seat: a member that ends
+may have been the list's reader, and its lease has to end first.  Where the platform answers nobody, `list_known` is
+violated too, as requests then go by a list that is too old.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+
+from queenless.beats import NEAR_BEAT, Beats
+from queenless.deeds import Violated
+from queenless.list_duty import LIST, OVERDUE, ListDuty
+from queenless.list_freshness import ListFreshness
+from swarm.peers import Peers
+
+LIST_READ = "list_read"
+LIST_KNOWN = "list_known"
+HANDING_ON = 1.0  # seconds more that a holder may take to hand the duty on: two heartbeats and a round trip
+CONFIRMING = 1.0  # seconds more until a node is told that it knows: two heartbeats and a round trip
+
+
+@dataclass(slots=True, frozen=True)
+class InvariantBounds:
+    """Of the settings, in seconds."""
+
+    drain_cutoff: float = 3.0
+    in_touch: float = 4.0
+
+
+class Invariants:
+    """Looks at one node; `violations` counts by name."""
+
+    def __init__(
+        self,
+        now: float,
+        bounds: InvariantBounds,
+        peers: Peers,
+        beats: Beats,
+        list_duty: ListDuty,
+        freshness: ListFreshness,
+    ) -> None:
+        self.bounds, self.peers, self.beats = bounds, peers, beats
+        self.list_duty, self.freshness = list_duty, freshness
+        self.violations: Counter[str] = Counter()
+        self.violated: set[str] = set()  # those that don't hold now
+        self.looked_at = -1e9
+        self.whole_since = now
+        self.lives: tuple[tuple[str, int], ...] = ()
+
+    def look(self, now: float) -> list[Violated]:
+        """What has ceased to hold since the last look; looks come as often as heartbeats tell anything new."""
+        if now - self.looked_at < NEAR_BEAT:
+            return []
+        self.looked_at = now
+        self._look_at_core(now)
+        found = {LIST_READ: self._list_is_read(now), LIST_KNOWN: self._list_is_known(now)}
+        broken = {name for name, holds in found.items() if not holds}
+        new = sorted(broken - self.violated)
+        self.violated = broken
+        self.violations.update(new)
+        return [Violated(name) for name in new]
+
+    def in_touch(self, now: float) -> bool:
+        """Whether what the rules bind by time binds this node."""
+        return now - self.whole_since >= self.bounds.in_touch
+
+    def _look_at_core(self, now: float) -> None:
+        core = self.peers.core
+        lives = tuple((ip, self._life(ip)) for ip in core)
+        whole = self.peers.seated and all(self.beats.answers(now, ip) and self.peers.sits(ip) for ip in core)
+        if not whole or lives != self.lives:
+            self.whole_since = now
+        self.lives = lives
+
+    def _life(self, ip: str) -> int:
+        peer = self.peers.peers.get(ip)
+        return peer.about.life if peer is not None else self.peers.core[ip].life
+
+    def _list_is_read(self, now: float) -> bool:
+        overdue = self.list_duty.without_read(now) > OVERDUE + HANDING_ON
+        return not overdue or not self.list_duty.duties.others_willing(now, LIST)
+
+    def _list_is_known(self, now: float) -> bool:
+        return not self.in_touch(now) or self.freshness.age(now) <= self.bounds.drain_cutoff + CONFIRMING
--- a/queenless/list_duty.py
+++ b/queenless/list_duty.py
@@ -56,10 +56,13 @@
 
     def must_decline(self, now: float) -> bool:
         """Whether this node holds the duty, has read nothing for too long, and another node may do better."""
+        return self.without_read(now) > OVERDUE and self.duties.others_willing(now, LIST)
+
+    def without_read(self, now: float) -> float:
+        """Seconds for which this node has held the duty and read nothing; 0 where it does not hold it."""
         if not self.holds(now):
             self.held_since = None
-            return False
+            return 0.0
         if self.held_since is None:
             self.held_since = now
-        overdue = now - max(self.held_since, self.read_at) > OVERDUE
-        return overdue and self.duties.others_willing(now, LIST)
+        return now - max(self.held_since, self.read_at)
--- a/swarm/peers.py
+++ b/swarm/peers.py
@@ -47,6 +47,7 @@
     silent: frozenset[str] = frozenset()  # members that it takes for silent
     leaving: bool = False  # it takes no duty any more
     declines: frozenset[int] = frozenset()  # duties that it could not do of late and leaves to others
+    list_read_at: float = -1e9  # all that the platform's list showed until then it knew, as it told last
     news: dict[str, int] = field(default_factory=dict)
     holders: dict[str, str] = field(default_factory=dict)
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -20,7 +20,7 @@
 from nectar.bounds import QuotaRule
 from nectar.credits import Granted, Lapsed
 from queenless.core import Core, Start
-from queenless.deeds import Changed, Danced, Deed, Message, Poll, Save, Send
+from queenless.deeds import Changed, Danced, Deed, Message, Poll, Save, Send, Violated
 from queenless.list_duty import LIST
 from queenless.order import Done
 from swarm.peers import About
@@ -231,6 +231,8 @@
                         self.saw(name, core)
                 case Done():
                     self.done(deed)
+                case Violated():
+                    self.breaches.append(f"{self.now:.2f} {name}: invariant {deed.name} is violated")
                 case Granted() | Lapsed() | Danced():
                     door.heard.append(deed)
 
