--- a/hive/__main__.py
+++ b/hive/__main__.py
@@ -17,6 +17,7 @@
 from hive.settings import Settings, SettingsError, load
 from ivymux.periodic import Periodic
 
+MOST_PORT = 65_535
 LOOK = 1.0  # seconds between looks whether the settings file has changed: what it may change is needed seldom
 
 
@@ -46,12 +47,12 @@
             log.log.say("hive", "new settings cannot be used", problem=error)
 
 
-async def serve(settings: Settings, path: str) -> None:
+async def serve(settings: Settings, path: str, metrics_port: int = 0) -> None:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    door = Door(settings)
+    door = Door(settings, metrics_port)
     watched = Watched(path, door.reload)
     loop.add_signal_handler(signal.SIGHUP, watched.look, True)
     await door.start()
@@ -62,6 +63,14 @@
     await door.drain()
 
 
+def port(text: str) -> int:
+    """A port's number, or 0.  Raises ValueError, which argparse tells."""
+    number = int(text)
+    if not 0 <= number <= MOST_PORT:
+        raise ValueError(text)
+    return number
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     parser = argparse.ArgumentParser(prog="hivedoor", description="A door of hazelspring, on any machine.")
     calls = parser.add_subparsers(dest="call", required=True)
@@ -75,6 +84,9 @@
         call.add_argument("--settings", default=path, help="path of the settings file")
         if name == "rescue":
             rescue.add(call)
+        elif name == "door":
+            text = "also answer GET /-/metrics on this port of the machine (0: no)"
+            call.add_argument("--metrics-port", type=port, default=0, metavar="PORT", help=text)
     chosen = parser.parse_args(arguments)
     if chosen.call == "rescue":
         return rescue.run(chosen)
@@ -89,7 +101,7 @@
         print(f"{chosen.settings}: can be used by {settings.name}")
         return 0
     log.start()
-    uvloop.run(serve(settings, chosen.settings))
+    uvloop.run(serve(settings, chosen.settings, chosen.metrics_port))
     return 0
 
 
--- a/hive/door.py
+++ b/hive/door.py
@@ -55,7 +55,8 @@
 
 
 class Door:
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, metrics_port: int = 0) -> None:
+        """`metrics_port`: a port of this machine's that answers `GET /-/metrics` beside the others; 0: none."""
         self.settings = settings
         self.loop = asyncio.get_running_loop()
         self.counts = Counts()
@@ -79,6 +80,8 @@
         self.front = Front(settings.front, self.carrier, most // 2, self.fresh)
         self.mesh = Mesh(settings.ip, settings.port, self.heard)
         self.desks = self.make_desks(settings)
+        metrics = Address(settings.ip, metrics_port)
+        self.metrics_desk = Desk(metrics, self, frozenset()) if metrics_port else None
         self.core: Core
 
     def make_desks(self, settings: Settings) -> list[Desk]:
@@ -103,6 +106,7 @@
         await self.mesh.start()
         for listener in [*self.desks, self.front]:
             await listener.start()
+        await self.start_metrics()
         told, name, first = self.core.control.register.told(), settings.name, settings.first
         log.say("hive", "started", name=name, disk=bool(self.core.me.disk), first=first, **told)
         self.tick()
@@ -110,6 +114,17 @@
             self.loop, self.until_tick, self.tick, lambda error: self.supervisor.failed("tick", error)
         )
 
+    async def start_metrics(self) -> None:
+        """Listen for who fetches metrics; a port that is taken keeps this door from nothing else."""
+        if self.metrics_desk is None:
+            return
+        try:
+            await self.metrics_desk.start()
+        except OSError as error:
+            log.say("hive", "cannot listen for who fetches metrics", error=error)
+        else:
+            self.desks.append(self.metrics_desk)
+
     async def read_disk(self) -> dict[str, bytes] | None:
         """What the disk holds; None where it does not say.  It is not taken for an empty one then."""
         if self.store is None:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -16,7 +16,7 @@
 
 from apiary.__main__ import Background
 from apiary.stands import Stands
-from apiary.yard import KEY, Yard, configuration
+from apiary.yard import KEY, Yard, configuration, free_ports
 from keeper.__main__ import main as keeper
 from keeper.calls import OrderError, once, order
 
@@ -75,6 +75,28 @@
         assert one['hazelspring_server_table_version{service="shop"}'] > 0
 
 
+def test_metrics_are_told_on_a_port_of_their_own_and_one_that_is_taken_keeps_from_nothing(
+    tmp_path: Path,
+) -> None:
+    (wanted,) = free_ports(1)
+    program = ("-m", "hive", "door", "--metrics-port", str(wanted))
+    yard = Yard(tmp_path, core=1, others=1, servers=1, program=program, nth=5)
+    background = Background(Stands(yard.platform, yard.servers))
+    with socket.socket() as taken:
+        taken.bind((yard.ips[1], wanted))
+        taken.listen()
+        try:
+            yard.start_all(first=True)
+            order(yard.controls(), "PUT", "/-/configuration", configuration(1), 30.0)
+            yard.until(lambda: yard.is_ready(0) and yard.is_ready(1))
+            found = once(f"{yard.ips[0]}:{wanted}", "GET", "/-/metrics", None, 2)
+            assert found.status == 200 and b"hazelspring_list_reader 1" in found.body
+            assert once(f"{yard.ips[0]}:{wanted}", "PUT", "/-/configuration", b"", 2).status == 405
+        finally:
+            yard.close()
+            background.close()
+
+
 def test_a_disk_that_cannot_be_read_is_not_taken_for_an_empty_one(yard: Yard) -> None:
     yard.until(lambda: status(yard, 1).get("member"))
     before = status(yard, 1)["version"]
