Soak real processes under troubles that overlap, with servers that leave meanwhile

Need: the incident was found by neither simulated time, where a read always ends, nor tests of processes, where no connection to the platform breaks. Change: tests/soak.py: six doors on loopback; kills, stops, cuts, lost answers, resets of the platform's connections, a reader whose reads hang or fail, two or three at once by a seed; a server leaves in each episode; then a member's disk is lost while all processes end, those that don't count too. Judged: DRAIN by the servers' own clock, TWICE, REFUSED, MIXED, LOST, and the logs of all lives for invariants and unforeseen errors.

--- a/apiary/stands.py
+++ b/apiary/stands.py
@@ -7,10 +7,12 @@
 import asyncio
 import contextlib
 import json
+import math
 import os
 import socket
 import struct
 import sys
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -66,6 +68,19 @@
     probes: int = 0  # health requests that it got
     misdirected: int = 0  # requests for another life that it turned away
     notes: int = -1  # the descriptor of a file that is told what runs, before it does
+    drained_at: float = math.inf  # when it was listed as draining, in steady seconds
+    after_drain: list[tuple[float, str]] = field(
+        default_factory=list
+    )  # what came later: when, and attempt ids
+
+    def drain(self) -> None:
+        """It leaves: the list says so from now on."""
+        self.state, self.drained_at = "draining", time.monotonic()
+
+    def renew(self, id_: str) -> None:
+        """A new life at the same address."""
+        self.id, self.state, self.drained_at = id_, "accepting", math.inf
+        self.after_drain.clear()
 
     async def handle(
         self, method: str, path: str, headers: Headers, body: bytes
@@ -80,6 +95,8 @@
         if not attempt:
             return 400, {"X-Hazelspring-Not-Executed": "1"}, b""
         self.ran[attempt] += 1
+        if self.state == "draining":
+            self.after_drain.append((time.monotonic(), attempt))
         if self.notes >= 0:
             os.write(self.notes, f"{attempt}\n".encode())
         self.last = {**headers, "": f"{method} {path} {body.decode(errors='replace')}"}
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -255,6 +255,7 @@
     def __init__(self, yard: Yard, count: int = 8) -> None:
         self.yard, self.stopped = yard, threading.Event()
         self.ends: dict[str, int] = {}  # status by attempt id
+        self.doors: dict[str, int] = {}  # the door that was asked, by attempt id
         self.foreign: list[str] = []
         self.ids = itertools.count()
         self.threads = [threading.Thread(target=self.run, args=(n,)) for n in range(count)]
@@ -267,6 +268,7 @@
         while not self.stopped.is_set():
             n += 1
             door, id_ = doors[n % len(doors)], f"c-{next(self.ids)}"
+            self.doors[id_] = door
             method = "POST" if is_write(id_) else "GET"
             path = f"/{'read' if method == 'GET' else 'write'}/{id_}"
             if door not in wires:
--- a/tests/cut_door.py
+++ b/tests/cut_door.py
@@ -1,21 +1,26 @@
 """A door with bad links: `hive door` that drops or delays what other doors send to it, for tests alone.
 
 The file beside its settings that ends in `.cut` names addresses, one a line: what comes from there is dropped, or late
-by the seconds that stand after it.  It is read anew at each message.  `door --credulous` takes what it knows for all
-that there is to know, without asking."""
+by the seconds that stand after it.  It is read anew at each message.  The file that ends in `.platform` says what
+becomes of reads of the platform's list: `hang` or `fail`.  `door --credulous` takes what it knows for all that there
+is to know, without asking."""
 
 from __future__ import annotations
 
+import asyncio
 import os
 import sys
 from pathlib import Path
 
 import hive.door
+import hive.list_reader
 from hive.__main__ import main
+from hive.instance_list import InstanceListClient
 from hive.mesh import Mesh
 from queenless.control import Control
 
 FILE = Path(os.environ["HAZELSPRING_SETTINGS"]).with_suffix(".cut")
+PLATFORM = FILE.with_suffix(".platform")
 
 
 class Cut(Mesh):
@@ -30,6 +35,18 @@
             self.loop.call_later(float(late[0]), super().received, source, data)
 
 
+class Platform(InstanceListClient):
+    """Reads that hang until they are given up, or end by an error of an unforeseen type."""
+
+    async def read_pages(self) -> list[bytes]:
+        match PLATFORM.read_text().strip() if PLATFORM.exists() else "":
+            case "hang":
+                await asyncio.Event().wait()
+            case "fail":
+                raise RuntimeError("the handler is closed")
+        return await super().read_pages()
+
+
 def credulous() -> None:
     """Take the fences out."""
     Control.sure = lambda control, order, now: True  # type: ignore[assignment, method-assign]
@@ -38,6 +55,7 @@
 
 if __name__ == "__main__":
     hive.door.Mesh = Cut  # type: ignore[attr-defined]
+    hive.list_reader.InstanceListClient = Platform  # type: ignore[attr-defined]
     words = sys.argv[1:]
     if "--credulous" in words:
         words.remove("--credulous")
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,309 @@
+"""Doors as real processes on loopback under troubles that overlap, drawn by a seed, while clients and operators go
+on and servers leave; what they and the doors' own invariants saw is judged at the end of each episode.
+
+`python -m tests.soak --seeds N --jobs N` plays many, `tests/test_soak.py` one."""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import http.client
+import json
+import math
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+
+from apiary.__main__ import Background
+from apiary.stands import Stands
+from apiary.yard import Yard, configuration
+from keeper.calls import once, order
+
+from .callers import Clients, Operators, is_write, links, told
+from .ledger import PROMISES
+
+CORE, OTHERS, SERVERS = 4, 2, 8
+DRAIN_CUTOFF, IN_TOUCH = 3.0, 4.0  # seconds: `drainCutoffMs` and `inTouchMs` of the settings
+HANDING_ON = 2.5  # seconds more for each door besides one that the platform does not answer
+TROUBLE = 4.0  # seconds in which an episode's troubles begin and end
+MARGIN = 0.2  # seconds between what a server notes and the moment at which a request reached it
+ASKING = 0.3  # seconds for a door's answer to who reads the list: it may be stopped
+BACK = 40.0  # seconds for all doors to be whole again
+KILL, STOP, CUT, HANG, FAIL, RESET, LOST = "kill", "stop", "cut", "hang", "fail", "reset", "answer lost"
+KINDS = (KILL, KILL, STOP, CUT, HANG, FAIL, RESET, LOST)
+AT_DOORS = frozenset((KILL, STOP, CUT))  # those after which a door must first be in touch again
+AT_PLATFORM = frozenset((HANG, FAIL))
+
+
+@dataclass(frozen=True)
+class Trouble:
+    """`door` is the one that it strikes, or the server whose answers are lost; `hang` and `fail` strike the list's
+    reader where there is one.  Times in seconds of the episode."""
+
+    kind: str
+    door: int
+    begins: float
+    ends: float
+    ways: str = ""  # of a cut
+
+    def strikes_core(self) -> bool:
+        return self.kind in AT_DOORS and self.door < CORE
+
+
+def draw(chance: random.Random) -> list[Trouble]:
+    """Two or three troubles of an episode, at least two of which overlap; no door has two at once."""
+    doors = chance.sample(range(CORE + OTHERS), chance.choice((2, 3)))
+    middle = TROUBLE / 2
+    return [
+        Trouble(
+            chance.choice(KINDS),
+            door,
+            chance.uniform(0.0, middle - 0.2),
+            chance.uniform(middle + 0.2, TROUBLE),
+            chance.choice(("both", "in", "out")),
+        )
+        for door in doors
+    ]
+
+
+class Soak:
+    """One fleet and its episodes; `faults` tells every rule that was broken."""
+
+    def __init__(self, folder: Path, seed: int, nth: int = 0) -> None:
+        self.chance = random.Random(seed)
+        program = ("-m", "tests.cut_door", "door")
+        self.yard = Yard(folder, CORE, OTHERS, SERVERS, program, nth=nth)
+        self.stands = Stands(self.yard.platform, self.yard.servers)
+        self.background = Background(self.stands)
+        self.faults: list[str] = []
+        self.seen: dict[Path, int] = {}  # how far each log was read
+        self.number = 0  # of the newest configuration that was acknowledged
+        self.lives = 0
+        self.cuts: dict[int, str] = {}  # doors that are cut off, and which ways
+        self.deaf: dict[Trouble, int] = {}  # doors that the platform does not answer
+        for server in self.yard.servers:
+            server.slots = 4
+
+    def play(self, episodes: int) -> list[str]:
+        """The faults of so many episodes and of a loss at their end."""
+        yard = self.yard
+        try:
+            yard.start_all(first=True)
+            order(yard.controls(), "PUT", "/-/configuration", configuration(1), BACK)
+            self.wait_until_whole()
+            for _ in range(episodes):
+                self.episode(draw(self.chance))
+            self.lose_a_disk_and_all_processes()
+        except TimeoutError as error:
+            self.faults.append(f"RECOVER: {error}")
+        finally:
+            yard.close()
+            self.background.close()
+        return self.faults
+
+    # --- an episode ---------------------------------------------------------------------------------------
+
+    def episode(self, troubles: list[Trouble]) -> None:
+        clients = Clients(self.yard, 4)
+        operators = Operators(lambda: self.yard.controls(), 1)
+        leaving = self.chance.choice(self.yard.servers)
+        actions: list[tuple[float, Callable[[], None]]] = [(self.chance.uniform(0.0, TROUBLE), leaving.drain)]
+        for trouble in troubles:
+            actions.append((trouble.begins, partial(self.begin, trouble)))
+            actions.append((trouble.ends, partial(self.end, trouble)))
+        began = time.monotonic()
+        for at, action in sorted(actions, key=lambda one: one[0]):
+            time.sleep(max(0.0, began + at - time.monotonic()))
+            action()
+        calm = time.monotonic()
+        self.wait_until_whole()
+        whole = time.monotonic()
+        late = self.time_to_know(troubles)
+        time.sleep(max(0.0, max(calm, whole - late) + IN_TOUCH + late - time.monotonic()))
+        time.sleep(max(0.0, leaving.drained_at + late + 1.0 - time.monotonic()))
+        operators.stop()
+        clients.stop()
+        self.judge_drain(clients, troubles, began)
+        self.judge_clients(clients)
+        self.judge_operators(operators)
+        self.judge_logs(troubles)
+        self.lives += 1
+        leaving.renew(f"i-life-{self.lives}")
+
+    def begin(self, trouble: Trouble) -> None:
+        yard, n = self.yard, trouble.door
+        match trouble.kind:
+            case "kill":
+                yard.kill(n)
+            case "stop":
+                yard.processes[n].send_signal(signal.SIGSTOP)
+            case "cut":
+                self.cuts[n] = trouble.ways
+                self.draw_cuts()
+            case "hang" | "fail":
+                self.deaf[trouble] = self.reader(n)
+                self.platform_file(self.deaf[trouble]).write_text(trouble.kind)
+            case "reset":
+                self.background.loop.call_soon_threadsafe(self.stands.reset_platform)
+            case _:
+                yard.servers[n].cut = True
+
+    def end(self, trouble: Trouble) -> None:
+        yard, n = self.yard, trouble.door
+        match trouble.kind:
+            case "kill":
+                yard.start(n)
+            case "stop":
+                yard.processes[n].send_signal(signal.SIGCONT)
+            case "cut":
+                del self.cuts[n]
+                self.draw_cuts()
+            case "hang" | "fail":
+                self.platform_file(self.deaf.pop(trouble)).unlink(missing_ok=True)
+            case "reset":
+                self.background.loop.call_soon_threadsafe(self.stands.reset_platform)
+            case _:
+                yard.servers[n].cut = False
+
+    def draw_cuts(self) -> None:
+        """What each door hears nothing of, by all the cuts there are now."""
+        mute = {n for n, ways in self.cuts.items() if ways in ("both", "out")}
+        for n in self.yard.there():
+            deaf = self.cuts.get(n) in ("both", "in")
+            unheard = [other for other in self.yard.there() if other != n and (deaf or other in mute)]
+            links(self.yard, n, {self.yard.ips[other]: "" for other in unheard})
+
+    def reader(self, otherwise: int) -> int:
+        """The door that reads the list now, where one that answers says so."""
+        for n in range(CORE):
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                got = once(self.yard.controls()[n], "GET", "/-/metrics", None, ASKING)
+                if b"hazelspring_list_reader 1\n" in got.body:
+                    return n
+        return otherwise
+
+    def platform_file(self, n: int) -> Path:
+        return self.yard.folder / f"door-{n + 1}.platform"
+
+    def wait_until_whole(self) -> None:
+        """Every door is ready, and each member of the core has its seat and hears the others."""
+
+        def is_whole(n: int) -> bool:
+            said = told(self.yard, n)
+            return bool(
+                said.get("ready") and said["member"] is (n in self.yard.disks) and all(said["core"].values())
+            )
+
+        for n in self.yard.there():
+            self.yard.until(lambda n=n: is_whole(n), BACK)
+
+    # --- what is judged ------------------------------------------------------------------------------------
+
+    @staticmethod
+    def time_to_know(troubles: Sequence[Trouble]) -> float:
+        """Seconds in which every door in touch must know of a server that leaves: a holder that the platform does not
+        answer hands the duty on in time; a second one, or one that has just taken it from one that ended, is late."""
+        deaf = sum(trouble.kind in AT_PLATFORM for trouble in troubles)
+        alone = not any(trouble.strikes_core() for trouble in troubles)
+        return DRAIN_CUTOFF + HANDING_ON * max(0, deaf - alone)
+
+    def judge_drain(self, clients: Clients, troubles: list[Trouble], began: float) -> None:
+        late = self.time_to_know(troubles)
+        core = max((began + one.ends for one in troubles if one.strikes_core()), default=-math.inf)
+        for server in self.yard.servers:
+            for at, attempt in server.after_drain:
+                door = clients.doors[attempt]
+                own = (began + one.ends for one in troubles if one.kind in AT_DOORS and one.door == door)
+                in_touch = max(core, *own, -math.inf) + IN_TOUCH
+                bound = max(server.drained_at + late, in_touch + late - DRAIN_CUTOFF) + MARGIN
+                if at > bound:
+                    after = at - server.drained_at
+                    self.faults.append(
+                        f"DRAIN: {attempt} reached {server.id} by door {door} {after:.2f} s after"
+                    )
+
+    def judge_clients(self, clients: Clients) -> None:
+        self.faults += [f"MIXED: {text}" for text in clients.foreign]
+        for id_, status in clients.ends.items():
+            ran = sum(server.ran[id_] for server in self.yard.servers)
+            if is_write(id_) and ran > 1:
+                self.faults.append(f"TWICE: {id_} ran {ran} times")
+            if is_write(id_) and ran and status in PROMISES:
+                self.faults.append(f"REFUSED: {id_} got {status} and ran")
+            if status == 200 and not ran:
+                self.faults.append(f"MIXED: {id_} got 200 and never ran")
+        if not any(status == 200 for status in clients.ends.values()):
+            self.faults.append("RECOVER: no request was served")
+        for server in self.yard.servers:
+            server.ran.clear()
+
+    def judge_operators(self, operators: Operators) -> None:
+        self.faults += [f"ACKS: {text}" for text in operators.failed]
+        self.number = max(self.number, operators.highest)
+        self.read_back()
+
+    def read_back(self) -> None:
+        answer = order(self.yard.controls(), "GET", "/-/configuration", patience=BACK)
+        number = int(json.loads(answer.body)["versionNumber"][1:])
+        if number < self.number:
+            self.faults.append(f"LOST: r{number} is in force, r{self.number} was acknowledged")
+
+    def judge_logs(self, troubles: list[Trouble]) -> None:
+        """Invariants and errors, of lives that have ended too."""
+        excused = self.time_to_know(troubles) > DRAIN_CUTOFF  # the list can be known no sooner
+        for path in sorted(self.yard.folder.glob("*.log")):
+            text = path.read_text(errors="replace")
+            new, self.seen[path] = text[self.seen.get(path, 0) :], len(text)
+            for line in new.splitlines():
+                broken = "invariant" in line and not (excused and "list_known" in line)
+                if broken or "hive: failed" in line or "Traceback" in line:
+                    self.faults.append(f"INVARIANT: {path.stem}: {line}")
+
+    def lose_a_disk_and_all_processes(self) -> None:
+        """All processes end at the same moment, those that don't count too, and a member's disk is lost."""
+        lost = self.chance.randrange(CORE)
+        for process in self.yard.processes.values():
+            process.kill()
+        for n in self.yard.there():
+            self.yard.kill(n)
+        self.yard.wipe(lost)
+        self.yard.start_all()
+        self.wait_until_whole()
+        self.read_back()
+
+
+def play(episodes: int, seed: int) -> list[str]:
+    """The faults of one fleet's episodes; its logs go to standard error where there are any."""
+    with tempfile.TemporaryDirectory(prefix="soak-") as folder:
+        faults = Soak(Path(folder), seed).play(episodes)
+        for path in Path(folder).glob("*.log") if faults else ():
+            print(f"--- seed {seed}: {path.stem}\n{path.read_text(errors='replace')}", file=sys.stderr)
+        return faults
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="soak", description="Doors under troubles that overlap, by seeds.")
+    parser.add_argument("--seeds", type=int, default=8, help="how many (8)")
+    parser.add_argument("--first", type=int, default=1, help="the first of them (1)")
+    parser.add_argument("--episodes", type=int, default=4, help="of each (4)")
+    parser.add_argument("--jobs", type=int, default=4, help="fleets at once (4)")
+    chosen = parser.parse_args(arguments)
+    seeds = range(chosen.first, chosen.first + chosen.seeds)
+    failed = 0
+    with ProcessPoolExecutor(chosen.jobs, max_tasks_per_child=1) as pool:
+        for seed, faults in zip(seeds, pool.map(partial(play, chosen.episodes), seeds), strict=True):
+            print(f"seed {seed}: {'no rule broken' if not faults else '; '.join(faults[:5])}", flush=True)
+            failed += bool(faults)
+    print(f"{len(seeds)} seeds, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,22 @@
+"""The short form of the soak: see tests/soak.py."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+from .soak import KINDS, RESET, Soak, Trouble, draw
+
+
+def test_doors_under_troubles_that_overlap_keep_every_rule(tmp_path: Path) -> None:
+    assert Soak(tmp_path, seed=1, nth=7).play(episodes=1) == []
+
+
+def test_troubles_are_drawn_by_their_seed_overlap_and_are_of_all_kinds() -> None:
+    drawn = [draw(random.Random(seed)) for seed in range(60)]
+    assert drawn == [draw(random.Random(seed)) for seed in range(60)]
+    assert {trouble.kind for troubles in drawn for trouble in troubles} == set(KINDS)
+    for troubles in drawn:
+        assert max(one.begins for one in troubles) < min(one.ends for one in troubles)
+        assert len({one.door for one in troubles}) == len(troubles)
+    assert RESET in KINDS and Trouble(RESET, 0, 0.0, 1.0) not in drawn[0]
