Open the socket for datagrams anew where the event loop has closed it

Change: Mesh opens another until it has one; an error of any type in a message by TCP is a message that did not arrive; a read of the list counts for nothing at a core that was given up since. Result: test_a_socket_for_datagrams_that_the_loop_closes_is_opened_anew, which waits without end on the code before.

--- a/hive/door.py
+++ b/hive/door.py
@@ -324,8 +324,10 @@
     # --- others ---------------------------------------------------------------------------------------------
 
     async def poll(self, number: int) -> None:
+        core = self.core
         found = await self.list_reader.read()
-        self.carry_out(self.core.listed(self.loop.time(), int(time.time() * 1000), found, number))
+        if core is self.core:  # else a core that was given up asked for it
+            self.carry_out(core.listed(self.loop.time(), int(time.time() * 1000), found, number))
 
     def lease(self, call: Call) -> None:
         self.carry_out(self.core.lease(self.loop.time(), call.tenant, call.number, call.units))
--- a/hive/mesh.py
+++ b/hive/mesh.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import cbor2
@@ -13,6 +13,7 @@
 
 MOST_DATAGRAM = 1200  # bytes: fits a packet on any link
 MOST_MESSAGE = 8 << 20
+REOPEN = 0.2  # seconds until a socket that could not be opened is tried again: half of a heartbeat's interval
 PATIENCE = 2.0  # seconds for a message that goes by TCP; what asked for it asks again sooner
 MOST_OUT = 64  # such messages on their way at once
 
@@ -27,6 +28,9 @@
     def error_received(self, error: Exception) -> None:
         pass  # a dead port: who is away is told by silence
 
+    def connection_lost(self, error: Exception | None) -> None:
+        self.mesh.lost_socket(error)
+
 
 class Mesh:
     """`heard` gets each message with its sender's address."""
@@ -37,14 +41,39 @@
         self.server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.loop = asyncio.get_running_loop()
+        self.closed = False
         self.message: dict[str, Any] = {}  # the last one,
         self.data = b""  # and its bytes
 
     async def start(self) -> None:
+        await self.open_socket()
+        self.server = await asyncio.start_server(self.accept, self.ip, self.port, limit=1 << 16)
+
+    async def open_socket(self) -> None:
+        """Open the socket for datagrams; raises OSError."""
         self.transport, _ = await self.loop.create_datagram_endpoint(
             lambda: Datagrams(self), local_addr=(self.ip, self.port)
         )
-        self.server = await asyncio.start_server(self.accept, self.ip, self.port, limit=1 << 16)
+
+    def lost_socket(self, error: Exception | None) -> None:
+        """The event loop has closed the socket for datagrams: without it this node would run on and hear nobody."""
+        self.transport = None
+        if not self.closed:
+            log.say("mesh", "lost its socket, opens another", error=error)
+            self.start_task(self.reopen_socket())
+
+    async def reopen_socket(self) -> None:
+        while self.transport is None:
+            try:
+                await self.open_socket()
+            except OSError as error:
+                log.say("mesh", "cannot open its socket", error=error)
+                await asyncio.sleep(REOPEN)
+
+    def start_task(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
     def send(self, to: str, message: dict[str, Any]) -> None:
         """One message may go to many, one after another: it is encoded once, and not to be changed between."""
@@ -56,9 +85,7 @@
                 with contextlib.suppress(OSError):
                     self.transport.sendto(data, (to, self.port))
         elif len(self.tasks) < MOST_OUT:
-            task = self.loop.create_task(self.deliver(to, data))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self.start_task(self.deliver(to, data))
         else:
             log.say("mesh", "too many large messages are on their way", peer=to)
 
@@ -72,7 +99,9 @@
                     await reader.read(1)  # its end says that it was read
                 finally:
                     writer.transport.abort()
-        except (OSError, TimeoutError) as error:
+        except (
+            Exception
+        ) as error:  # also of a write to a connection that was reset, which has no type of its own
             log.say("mesh", "a message did not arrive", peer=to, error=type(error).__name__)
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -98,6 +127,7 @@
             )
 
     def close(self) -> None:
+        self.closed = True
         if self.transport is not None:
             self.transport.close()
         if self.server is not None:
--- a/tests/test_unforeseen_errors.py
+++ b/tests/test_unforeseen_errors.py
@@ -237,6 +237,32 @@
     with_door(tmp_path, play)
 
 
+def test_a_socket_for_datagrams_that_the_loop_closes_is_opened_anew(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play(door: Door) -> None:
+        heard = list[Any]()
+        door.mesh.heard = lambda source, message: heard.append(message)
+        first = door.mesh.transport
+        assert first is not None
+        with monkeypatch.context() as patch:
+            patch.setattr(door.mesh, "open_socket", busy)
+            first.abort()
+            await until(lambda: door.mesh.transport is None and tries)
+        await until(lambda: door.mesh.transport is not None)
+        assert door.mesh.transport is not first
+        door.mesh.send(door.settings.ip, {"k": "beat"})
+        await until(lambda: heard)
+
+    tries = list[int]()
+
+    async def busy() -> None:
+        tries.append(1)
+        raise OSError("the port is taken")
+
+    with_door(tmp_path, play)
+
+
 def test_an_error_in_a_callback_of_the_loop_is_counted(tmp_path: Path) -> None:
     async def play(door: Door) -> None:
         door.loop.call_soon(fail)
