--- a/queenless/herald.py
+++ b/queenless/herald.py
@@ -19,7 +19,7 @@
 
 class Herald:
     def __init__(self, peers: Peers, link: float = math.inf) -> None:
-        self.peers, self.news = peers, News()
+        self.peers, self.news = peers, News(peers.me.ip)
         self.teller = Teller(peers, budget(link))
 
     def listed(self, now: float, wall_ms: int, found: dict[str, dict[str, Server]]) -> list[Deed]:
--- a/tests/test_herald.py
+++ b/tests/test_herald.py
@@ -149,3 +149,24 @@
     assert door.news.tables["shop"].servers.keys() == {"i-1", "i-3", "i-4"}
     assert door.take(1.0, reader.news.pack(1.0, "shop")) and door.take(1.0, change) == []
     assert door.news.tables["shop"].servers == reader.news.tables["shop"].servers
+
+
+def test_two_readers_that_go_on_from_one_version_make_no_common_one_and_the_newer_list_wins() -> None:
+    """The time of day stands behind the version, and what the first reader told last has not reached the second one."""
+    one, other = Server("i-1", "s:1", "z0", True, 2, "v1"), Server("i-2", "s:2", "z0", True, 2, "v1")
+    first, second, door = (Herald(Peers(replace(about, disk=True), 0.0)) for about in ABOUTS[:3])
+    first.listed(1.0, 9000, {"shop": {"i-1": one, "i-2": other}})
+    for herald in (second, door):
+        herald.take(1.0, first.news.pack(1.0, "shop"))
+    first.listed(2.0, 1000, {"shop": {"i-1": one, "i-2": replace(other, accepting=False)}})
+    door.take(2.0, first.news.pack(2.0, "shop"))
+    newest = {"i-1": replace(one, accepting=False), "i-2": replace(other, accepting=False)}
+    for step in range(
+        2
+    ):  # it may take the other's table first, and sees at its next look that the list is another
+        second.listed(3.0 + step, 1100, {"shop": dict(newest)})
+        for source, to in ((second, door), (door, second)):
+            if to.news.newer(source.news.versions()):
+                to.take(3.0 + step, source.news.pack(3.0 + step, "shop"))
+    for herald in (second, door):
+        assert not any(server.accepting for server in herald.news.tables["shop"].servers.values())
--- a/waggle/news.py
+++ b/waggle/news.py
@@ -10,6 +10,8 @@
 
 from swarm.rendezvous import owner
 
+VERSION_STEPS = 256  # steps that doors go on by where the time of day stands behind a version: milliseconds
+
 
 @dataclass(slots=True, frozen=True)
 class Server:
@@ -82,7 +84,9 @@
 class News:
     """What one door knows of servers."""
 
-    def __init__(self) -> None:
+    def __init__(self, reader: str = "") -> None:
+        """`reader`: the address of this door, which its versions are told apart by."""
+        self.step = 1 + tag(reader) % VERSION_STEPS
         self.tables: dict[str, Table] = {}
         self.known: dict[str, int] | None = None  # their versions, until one changes
 
@@ -94,7 +98,9 @@
 
     def listed(self, now: float, wall_ms: int, found: dict[str, dict[str, Server]]) -> list[str]:
         """A list has come from the platform; the services with news.  Versions grow also where the holder of
-        the list before this one was not heard to the end: they follow the time of day."""
+        the list before this one was not heard to the end: they follow the time of day.  Where that stands behind them,
+        two holders that go on from one version must not come to the same one with different servers, as doors that
+        hold either would take it for the other: each door goes on by a step of its own."""
         changed = []
         for service in {**self.tables, **found}:
             servers, table = found.get(service, {}), self.tables.get(service)
@@ -105,7 +111,7 @@
                 continue
             before, told = table.version if table is not None else 0, set(moved)
             kept = {name: server if name in told else old[name] for name, server in servers.items()}
-            self.tables[service] = Table(max(before + 1, wall_ms), kept, before, moved, gone)
+            self.tables[service] = Table(max(before + self.step, wall_ms), kept, before, moved, gone)
             changed.append(service)
             self.known = None
         return changed
