Wait in the test of metrics for a reader that has read

Cause: the test failed once in tests/run.sh: it took the first node that holds the duty, and one that has just taken it from a killed one has read nothing yet (the test before it kills the reader). Change: it waits for exactly one holder that has read; what it asks of it is as strict as before.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -65,12 +65,19 @@
 
 
 def test_the_metrics_name_the_one_reader_of_the_list_and_what_each_door_knows_of_servers(yard: Yard) -> None:
-    yard.until(lambda: sum(figures(yard, n)["hazelspring_list_reader"] for n in range(6)) == 1)
-    found = [figures(yard, n) for n in range(6)]
-    (reader,) = [one for one in found if one["hazelspring_list_reader"]]
+    def readers() -> list[dict[str, float]]:
+        """Those that have the duty and have read the list: one that has just taken it has yet to."""
+        found = [figures(yard, n) for n in range(6)]
+        return [
+            one
+            for one in found
+            if one["hazelspring_list_reader"] and one['hazelspring_list_reads_total{result="read"}']
+        ]
+
+    yard.until(lambda: len(readers()) == 1)
+    (reader,) = readers()
     assert reader["hazelspring_list_read_ago_seconds"] < 5
-    assert reader['hazelspring_list_reads_total{result="read"}'] > 0
-    for one in found:
+    for one in [figures(yard, n) for n in range(6)]:
         assert one['hazelspring_servers{service="shop",state="accepting"}'] == 4
         assert one['hazelspring_server_table_version{service="shop"}'] > 0
 
