Move the registry of servers to hazelspring/registry, under the field's names

Change: waggle becomes hazelspring/registry (tables, list_duty, list_freshness): ServerEntry, ServiceTable, ServerRegistry, update_from_list, encode, apply, outdated, home_node; queenless/herald.py becomes dissemination.py; logs say registry:. Kinds of messages and their bytes stay. No behaviour changes.

--- a/bench/scale/program.py
+++ b/bench/scale/program.py
@@ -14,16 +14,22 @@
 from comb.delta import difference, follow
 from comb.word import digest, read
 from forage.fleet import Fleet
+from hazelspring.registry.list_duty import LIST
+from hazelspring.registry.tables import (
+    ServerEntry,
+    ServerRegistry,
+    home_node,
+    parse_instance_list,
+    server_tag,
+)
 from nectar.bounds import QuotaRule
 from nectar.counter import Counter
 from nectar.credits import Credits
 from queenless.core import SHARDS, Core, Start
 from queenless.deeds import Danced, Deed, Message, Poll, Save, Send
-from queenless.list_duty import LIST
 from queenless.order import Done
 from queenless.teller import LEASE
 from swarm.peers import About
-from waggle.news import News, Server, home, parse, tag
 
 TICK = 0.05  # seconds between two ticks of a door, as hive.door has it,
 CALM = 0.1  # and of one that is ready and has no disk
@@ -44,7 +50,7 @@
 BRINGING = {"want", "decided"}  # and those that bring what was decided to all doors
 
 CALLS = 640_000 / 4500  # a second of a door to counters at the peak, as bench.scale.model has it
-Listing = dict[str, dict[str, Server]]
+Listing = dict[str, dict[str, ServerEntry]]
 
 
 def listing(services: int, servers: int, zones: int) -> Listing:
@@ -53,7 +59,9 @@
     for n in range(servers):
         name = f"i-{n:05d}"
         address = f"10.{n >> 16 & 255}.{n >> 8 & 255}.{n & 255}:8080"
-        found[f"service-{n % services}"][name] = Server(name, address, f"zone-{n % zones}", True, 3, "v1")
+        found[f"service-{n % services}"][name] = ServerEntry(
+            name, address, f"zone-{n % zones}", True, 3, "v1"
+        )
     return found
 
 
@@ -112,18 +120,18 @@
 
 
 def parse_list(page: bytes) -> Listing:
-    return parse([page], 0.0)
+    return parse_instance_list([page], 0.0)
 
 
-def news_of(found: Listing) -> News:
+def news_of(found: Listing) -> ServerRegistry:
     """What a door knows of servers once a list has come."""
-    news = News()
-    news.listed(0.0, 1, found)
+    news = ServerRegistry()
+    news.update_from_list(0.0, 1, found)
     return news
 
 
-def look_again(news: News, found: Listing) -> list[str]:
-    return news.listed(1.0, 2, found)
+def look_again(news: ServerRegistry, found: Listing) -> list[str]:
+    return news.update_from_list(1.0, 2, found)
 
 
 def fleet_of(found: Listing, zones: dict[str, str]) -> Fleet:
@@ -212,7 +220,9 @@
         core = self.known()
         core.ready = self.number() >= 0 and now - core.fresh_at(now) <= READY
         deeds = core.tick(now)
-        return deeds if self.outs or not dancing else deeds + core.herald.dance(now, {}, self.dances)
+        return (
+            deeds if self.outs or not dancing else deeds + core.disseminator.tell_load(now, {}, self.dances)
+        )
 
     def pause(self) -> float:
         """Seconds until the next tick."""
@@ -236,8 +246,10 @@
     def dance(self, now: float, outs: dict[str, int]) -> list[Deed]:
         """Those of the peak: a tick's calls to counters go out beside them."""
         self.outs = outs
-        self.known().herald.teller.spend(CALLS * TICK * LEASE)
-        return self.known().herald.dance(now, {tag(name): out for name, out in outs.items()}, self.dances)
+        self.known().disseminator.teller.spend(CALLS * TICK * LEASE)
+        return self.known().disseminator.tell_load(
+            now, {server_tag(name): out for name, out in outs.items()}, self.dances
+        )
 
     def lease(self, now: float, tenant: str, number: int) -> list[Deed]:
         return self.known().lease(now, tenant, number, 1.0)
@@ -260,7 +272,7 @@
         return self.known().control.seated()
 
     def versions(self) -> dict[str, int]:
-        return self.known().news.versions()
+        return self.known().registry.versions()
 
     def counted(self) -> int:
         """Doors that this one knows of as ready."""
@@ -278,4 +290,4 @@
 
 def homes(zone: str, doors: tuple[str, ...], services: list[str]) -> set[str | None]:
     """Doors of a zone that are home of a service."""
-    return {home(service, zone, doors) for service in services}
+    return {home_node(service, zone, doors) for service in services}
--- a/forage/fleet.py
+++ b/forage/fleet.py
@@ -6,8 +6,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-from waggle.news import Server as Listed
-from waggle.news import tag
+from hazelspring.registry.tables import ServerEntry, server_tag
 
 NEWEST = 0.15  # weight of the newest answer in what is known of a server's speed
 FADE = 1.0  # seconds after which a load report counts for nothing: a few requests' time
@@ -90,8 +89,8 @@
     named: dict[int, Server] = field(default_factory=dict)  # by tag
 
     def outs(self) -> dict[int, int]:
-        """This door's requests at servers, by tag, for the others to know."""
-        return {tag(server.id): server.out for server in self.servers.values() if server.out}
+        """This door's requests at servers, by server_tag, for the others to know."""
+        return {server_tag(server.id): server.out for server in self.servers.values() if server.out}
 
     def danced(self, now: float, door: str, outs: dict[int, int]) -> None:
         """Another door has told where its requests are: only what differs from its last word is summed up."""
@@ -121,7 +120,9 @@
                 if (server := self.named.get(name)) is not None:
                     server.others = total
 
-    def listed(self, now: float, service: str, servers: Iterable[Listed], cold_time: float) -> list[Server]:
+    def listed(
+        self, now: float, service: str, servers: Iterable[ServerEntry], cold_time: float
+    ) -> list[Server]:
         """The servers of a service from now on; those that are gone are returned.  A life that was not there
         when the first list came is cold for its time, whatever the list says."""
         known = self.services.get(service)
@@ -135,8 +136,8 @@
                     self.regions.get(told.zone, ""), service, told.slots, told.accepting,
                 )  # fmt: skip
                 server.cold_until = now + cold_time if fresh else 0.0
-                server.others = self.elsewhere.get(tag(told.id), 0)
-                self.servers[server.number] = self.named[tag(told.id)] = server
+                server.others = self.elsewhere.get(server_tag(told.id), 0)
+                self.servers[server.number] = self.named[server_tag(told.id)] = server
             server.accepting, server.slots = told.accepting, max(1, told.slots)
             server.cold_until = max(server.cold_until, told.cold_until)
             found[told.id] = server
@@ -144,8 +145,8 @@
         gone = list(known.values()) if known else []
         for server in gone:
             del self.servers[server.number]
-            if self.named.get(tag(server.id)) is server:  # it may have gone over to another service
-                del self.named[tag(server.id)]
+            if self.named.get(server_tag(server.id)) is server:  # it may have gone over to another service
+                del self.named[server_tag(server.id)]
         return gone
 
     def chill(self, now: float, zone: str, cold: dict[str, float]) -> None:
--- a/forage/gate.py
+++ b/forage/gate.py
@@ -11,11 +11,11 @@
 from comb.word import Route, Tenant, Word
 from forage.allowance import Allowance
 from forage.fleet import Fleet, Server
+from hazelspring.registry.tables import ServerEntry
 from nectar.bounds import QuotaRule
 from nectar.credits import Call, Credits, Granted, Lapsed
 from orchidhill import interface as i
 from orchidhill.interface import Outcome
-from waggle.news import Server as Listed
 
 AGAIN = 0.25  # seconds after which who was refused for want of servers or news may come again
 LEAST_LEFT = 0.05  # seconds: with less, nothing is sent any more
@@ -130,7 +130,7 @@
         services = self.word.services if self.word is not None else {}
         return {name: service.cold_time + FIRST for name, service in services.items()}
 
-    def listed(self, now: float, service: str, servers: Iterable[Listed]) -> list[Server]:
+    def listed(self, now: float, service: str, servers: Iterable[ServerEntry]) -> list[Server]:
         return self.fleet.listed(now, service, servers, self.cold_times().get(service, 0.0))
 
     def close(self, now: float, zones: frozenset[str]) -> None:
--- a/hive/door.py
+++ b/hive/door.py
@@ -183,7 +183,7 @@
             self.supervisor.guard("core tick", lambda: self.core_tick(now))
         self.carrier.post(Tick())  # type: ignore[arg-type]
         fleet = self.forager.fleet
-        self.carry_out(self.core.herald.dance(now, fleet.outs(), fleet.dances))
+        self.carry_out(self.core.disseminator.tell_load(now, fleet.outs(), fleet.dances))
 
     def calm(self) -> float:
         """Seconds between looks at the core."""
@@ -243,7 +243,7 @@
     def ready(self) -> bool:
         """Whether clients may come: there is a configuration, servers are known, and the core was heard."""
         sure = self.fresh_at + UNREADY * self.settings.revocation
-        known = self.word is not None and bool(self.core.news.tables)
+        known = self.word is not None and bool(self.core.registry.tables)
         return known and not self.draining and self.loop.time() <= sure
 
     def carry_out(self, deeds: list[Deed]) -> None:
@@ -309,17 +309,21 @@
         elif what.startswith("service:"):
             service = what.partition(":")[2]
             self.say_table(service)
-            for server in self.forager.listed(now, service, self.core.news.tables[service].servers.values()):
+            for server in self.forager.listed(
+                now, service, self.core.registry.tables[service].servers.values()
+            ):
                 self.servers.remove(server.number)
             for server in self.forager.fleet.services[service].values():
                 self.servers.place(server.number, parse_address(server.address), 0.0)
 
     def say_table(self, service: str) -> None:
         """Say which state of a service's servers is used from now on."""
-        table = self.core.news.tables[service]
+        table = self.core.registry.tables[service]
         draining = sum(not server.accepting for server in table.servers.values())
         count, version = len(table.servers), table.version
-        log.say("waggle", "uses a table", service=service, version=version, servers=count, draining=draining)
+        log.say(
+            "registry", "uses a table", service=service, version=version, servers=count, draining=draining
+        )
 
     # --- others ---------------------------------------------------------------------------------------------
 
@@ -364,7 +368,7 @@
             "doors": [row[0] for row in core.peers.roster if row[5]],
             "notServed": dict(self.forager.ends),
             "freshForS": round(self.forager.fresh_until - now, 2),
-            "servers": {service: len(table.servers) for service, table in core.news.tables.items()},
+            "servers": {service: len(table.servers) for service, table in core.registry.tables.items()},
         }
 
     # --- the end -----------------------------------------------------------------------------------------------
--- a/hive/instance_list.py
+++ b/hive/instance_list.py
@@ -10,8 +10,8 @@
 
 import httptools
 
+from hazelspring.registry.list_duty import READ_TIMEOUT
 from ivymux.config import Address
-from queenless.list_duty import READ_TIMEOUT
 
 MAX_PAUSE = READ_TIMEOUT / 4  # seconds between two tries of a page, however few calls the platform accepts
 MAX_PAGES = 64
--- a/hive/list_reader.py
+++ b/hive/list_reader.py
@@ -4,12 +4,12 @@
 
 import asyncio
 
+from hazelspring.registry.tables import ServerEntry, parse_instance_list
 from hive.instance_list import InstanceListClient, InstanceListError
 from hive.log import log
 from ivymux.config import Address
-from waggle.news import Server, parse
 
-ServersByService = dict[str, dict[str, Server]]
+ServersByService = dict[str, dict[str, ServerEntry]]
 
 
 class ListReader:
@@ -40,14 +40,14 @@
             self.replace_client(self.client.address, self.client.rate)
         client = self.reading = self.client
         try:
-            found = parse(await client.read_pages(), self.loop.time())
+            found = parse_instance_list(await client.read_pages(), self.loop.time())
         except (InstanceListError, ValueError) as error:
             self.failures += 1
-            log.say("waggle", "could not read the list", error=error)
+            log.say("registry", "could not read the list", error=error)
             return None
         except Exception as error:  # the node waits for every read to end
             self.failures += 1
-            log.failed("waggle", "could not read the list", error)
+            log.failed("registry", "could not read the list", error)
             return None
         finally:
             if self.reading is client:
@@ -60,7 +60,7 @@
         """Log when this node becomes the one that reads the list, and when it ceases to be."""
         if is_reader != self.is_reader:
             self.is_reader = is_reader
-            log.say("waggle", "reads the list" if is_reader else "reads the list no more", reads=self.reads)
+            log.say("registry", "reads the list" if is_reader else "reads the list no more", reads=self.reads)
 
     def close(self) -> None:
         """End the connection to the platform."""
--- a/hive/node_metrics.py
+++ b/hive/node_metrics.py
@@ -69,7 +69,7 @@
     yield Sample("list_reads_total", reader.failures, (("result", "failed"),))
     if reader.read_at is not None:
         yield Sample("list_read_ago_seconds", now - reader.read_at)
-    for service, table in door.core.news.tables.items():
+    for service, table in door.core.registry.tables.items():
         labels = (("service", service),)
         accepting = sum(server.accepting for server in table.servers.values())
         yield Sample("server_table_version", table.version, labels)
--- a/queenless/__init__.py
+++ b/queenless/__init__.py
@@ -1,1 +1,1 @@
-"""queenless: one door's core, which brings swarm, comb, waggle and nectar together; no door leads."""
+"""queenless: one door's core, which brings swarm, comb, registry and nectar together; no door leads."""
--- a/queenless/beats.py
+++ b/queenless/beats.py
@@ -5,12 +5,12 @@
 import zlib
 from typing import Any
 
+from hazelspring.registry.list_freshness import UNIT, ListFreshness
+from hazelspring.registry.tables import ServerRegistry
 from queenless.control import Control
 from queenless.deeds import Message
-from queenless.list_freshness import UNIT, ListFreshness
 from swarm.duties import Duties
 from swarm.peers import About, Peer, Peers
-from waggle.news import News
 
 NEAR_BEAT = 0.4  # seconds between beats inside a region, and between core doors, whose leases live on them
 FAR_BEAT = 2.0  # between regions, where bytes are dear, while the near part of the core answers
@@ -32,11 +32,11 @@
         peers: Peers,
         control: Control,
         duties: Duties,
-        news: News,
+        news: ServerRegistry,
         freshness: ListFreshness,
         began: float,
     ) -> None:
-        self.peers, self.control, self.duties, self.news, self.began = peers, control, duties, news, began
+        self.peers, self.control, self.duties, self.registry, self.began = peers, control, duties, news, began
         self.freshness = freshness
         # beats are numbered from a number of this life's own on, so an answer to an earlier life is known by it, also
         # on a machine whose steady clock has begun anew
@@ -48,7 +48,7 @@
 
     def state(self, now: float) -> dict[str, Any]:
         """What others want to know of this door, and what seldom changes."""
-        told: dict[str, Any] = {"n": self.news.versions(), "m": {"doors": self.peers.most_doors}}
+        told: dict[str, Any] = {"n": self.registry.versions(), "m": {"doors": self.peers.most_doors}}
         told["h"] = dict(zip(("v", "p"), self.control.held(), strict=True))
         if self.control.seated():
             told["d"] = self.duties.told(now)
@@ -186,7 +186,7 @@
         if (state := message.get("z")) is not None:
             peer.state_sum = self.sum_of(state)
             self.peers.most_doors = max(self.peers.most_doors, state["m"]["doors"])
-            peer.news, peer.holders = state["n"], state.get("d", {})
+            peer.table_versions, peer.holders = state["n"], state.get("d", {})
             peer.held = (state["h"]["v"], state["h"]["p"])
             peer.silent = frozenset(state.get("q", ()))
             peer.declines = frozenset(state.get("o", ()))
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -13,21 +13,21 @@
 from comb.change import Checked
 from comb.state import Member, lineage
 from comb.word import digest, number_of
+from hazelspring.registry.list_duty import LIST, ListDuty
+from hazelspring.registry.list_freshness import ListFreshness
+from hazelspring.registry.tables import ServerEntry
 from nectar.counter import Counter
 from nectar.credits import Granted, Lapsed
 from queenless.beats import FAR_BEAT, NEAR_BEAT, Beats
 from queenless.control import ASK_AGAIN, Control
 from queenless.deeds import AGREEMENT, Danced, Deed, Message, Poll, Send
-from queenless.herald import Herald, ask_for
+from queenless.dissemination import Disseminator, ask_for
 from queenless.invariants import InvariantBounds, Invariants
-from queenless.list_duty import LIST, ListDuty
-from queenless.list_freshness import ListFreshness
 from queenless.order import Order
 from queenless.teller import LEASE
 from swarm.duties import Duties, Who
 from swarm.peers import TERM, About, Peers
 from swarm.rendezvous import shard
-from waggle.news import Server
 
 SHARDS = 8  # of tenants; fixed, as two doors that differ in it would both own a tenant
 BARE = 0.15  # seconds without any table, as none else has one, after which a core door asks for itself
@@ -60,10 +60,10 @@
         self.peers.most_doors = self.marked_doors = int(start.records.get(DOORS, b"0"))
         self.duties = Duties(self.peers, now, start.first, SHARDS + 1)
         self.counter, self.limit = Counter(window), limit
-        self.herald = Herald(self.peers, start.link)
-        self.news = self.herald.news
+        self.disseminator = Disseminator(self.peers, start.link)
+        self.registry = self.disseminator.registry
         self.freshness = ListFreshness(now)
-        self.beats = Beats(self.peers, self.control, self.duties, self.news, self.freshness, now)
+        self.beats = Beats(self.peers, self.control, self.duties, self.registry, self.freshness, now)
         self.ready = False
         self.list_duty = ListDuty(self.duties)
         self.invariants = Invariants(
@@ -180,19 +180,19 @@
             if peer is None or ip == self.me.ip:
                 continue
             told, known = self.level.get(ip, (None, None))
-            if told is not peer.news or known is not self.news.versions():
-                newer = self.news.newer(peer.news)
+            if told is not peer.table_versions or known is not self.registry.versions():
+                newer = self.registry.outdated(peer.table_versions)
                 for service in newer:
-                    self.ask_news(now, service, peer.news[service])
+                    self.ask_news(now, service, peer.table_versions[service])
                 if newer:
                     continue
-                self.level[ip] = (peer.news, self.news.versions())
+                self.level[ip] = (peer.table_versions, self.registry.versions())
             self.freshness.confirm(peer.list_read_at)  # what it knows is known here
 
     def ask_news(self, now: float, service: str, version: int) -> None:
         if not self.may_ask(now, f"news {service}"):
             return
-        has = self.peers.others_where(lambda peer: peer.news.get(service, 0) >= version)
+        has = self.peers.others_where(lambda peer: peer.table_versions.get(service, 0) >= version)
         self.ask_one(now, f"news {service}", has, ask_for(service))
 
     def may_ask(self, now: float, what: str) -> bool:
@@ -231,7 +231,7 @@
 
     def may_list(self, now: float) -> bool:
         """Whether the platform's list is this door's to read: by its duty, or for want of any table."""
-        return self.list_duty.holds(now) or not self.news.tables
+        return self.list_duty.holds(now) or not self.registry.tables
 
     def drain(self, now: float) -> list[Deed]:
         """This door leaves in order: its duties go to others at once."""
@@ -244,13 +244,13 @@
     # --- news of servers ----------------------------------------------------------------------------------
 
     def listed(
-        self, now: float, wall_ms: int, found: dict[str, dict[str, Server]] | None, number: int
+        self, now: float, wall_ms: int, found: dict[str, dict[str, ServerEntry]] | None, number: int
     ) -> list[Deed]:
         """The platform's list as a read brought it, or None where it failed; `number`: which read."""
         newest = self.list_duty.end(number, found is not None)
         if found is None or not newest or not self.may_list(now):
             return []
-        deeds = self.herald.listed(now, wall_ms, found)
+        deeds = self.disseminator.listed(now, wall_ms, found)
         self.freshness.confirm(self.list_duty.read_at)
         return deeds
 
@@ -263,7 +263,7 @@
         if holder is not None and holder != self.me.ip:
             ask = {"k": "lease", "n": tenant, "q": number, "u": int(units), "y": self.me.life}
             self.deeds.append(Send(holder, ask))
-            self.herald.teller.spend(LEASE)
+            self.disseminator.teller.spend(LEASE)
         elif (granted := self.count(now, tenant, (self.me.ip, self.me.life), number, units)) is None:
             self.deeds.append(Lapsed(tenant))
         elif units > 0:
@@ -298,10 +298,12 @@
             case "echo":
                 self.on_echo(now, source, message)
             case "ask":
-                if message["s"] in self.news.tables:
-                    self.deeds.append(Send(source, {"k": "news", "n": self.news.pack(now, message["s"])}))
+                if message["s"] in self.registry.tables:
+                    self.deeds.append(
+                        Send(source, {"k": "news", "n": self.registry.encode(now, message["s"])})
+                    )
             case "news":
-                self.deeds += self.herald.take(now, message["n"])
+                self.deeds += self.disseminator.apply(now, message["n"])
                 self.asked.pop(f"news {message['n'][0]}", None)
             case "decline":
                 about = About(*message["a"])
--- a/queenless/invariants.py
+++ b/queenless/invariants.py
@@ -14,10 +14,10 @@
 from collections import Counter
 from dataclasses import dataclass
 
+from hazelspring.registry.list_duty import LIST, OVERDUE, ListDuty
+from hazelspring.registry.list_freshness import ListFreshness
 from queenless.beats import NEAR_BEAT, Beats
 from queenless.deeds import Violated
-from queenless.list_duty import LIST, OVERDUE, ListDuty
-from queenless.list_freshness import ListFreshness
 from swarm.peers import Peers
 
 LIST_READ = "list_read"
--- a/swarm/peers.py
+++ b/swarm/peers.py
@@ -48,7 +48,7 @@
     leaving: bool = False  # it takes no duty any more
     declines: frozenset[int] = frozenset()  # duties that it could not do of late and leaves to others
     list_read_at: float = -1e9  # all that the platform's list showed until then it knew, as it told last
-    news: dict[str, int] = field(default_factory=dict)
+    table_versions: dict[str, int] = field(default_factory=dict)
     holders: dict[str, str] = field(default_factory=dict)
 
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -5,8 +5,8 @@
 import pytest
 
 import comb.state
+from hazelspring.registry.list_duty import LIST
 from queenless.deeds import Message, Send
-from queenless.list_duty import LIST
 
 from .world import World
 
@@ -529,7 +529,7 @@
     world = settled_world()
     core, told = world.doors["d6"].core, []
     assert core is not None
-    version, send = core.news.tables["shop"].version, world.send
+    version, send = core.registry.tables["shop"].version, world.send
 
     def noted(source: str, to: str, message: Message) -> None:
         told.append((source, to, message["k"]))
--- a/tests/test_herald.py
+++ b/tests/test_dissemination.py
@@ -6,11 +6,11 @@
 from dataclasses import replace
 
 from forage.fleet import Fleet
+from hazelspring.registry.tables import ServerEntry
 from queenless.deeds import Deed, Send
-from queenless.herald import Herald
+from queenless.dissemination import Disseminator
 from queenless.teller import MOST_NAMES, Outs
 from swarm.peers import About, Peers
-from waggle.news import Server
 
 ABOUTS = [About(f"d{n}", f"z{n % 3}", "south" if n % 3 == 2 else "north", False, n) for n in range(12)]
 
@@ -20,19 +20,19 @@
 
     def __init__(self) -> None:
         self.roster = [[*about.row(), True] for about in ABOUTS]
-        self.heralds = {about.ip: Herald(Peers(about, 0.0)) for about in ABOUTS}
+        self.nodes = {about.ip: Disseminator(Peers(about, 0.0)) for about in ABOUTS}
         self.fleets = {a.ip: Fleet(a.zone, a.region, {}, random.Random(1)) for a in ABOUTS}
         self.outs: dict[str, Outs] = {about.ip: {} for about in ABOUTS}
         self.told: list[tuple[str, str]] = []
         self.name_doors(self.roster)
 
     def name_doors(self, roster: list[list[object]]) -> None:
-        for herald in self.heralds.values():
-            herald.peers.take_roster(roster)
+        for node in self.nodes.values():
+            node.peers.take_roster(roster)
 
     def tick(self, now: float) -> None:
-        for ip, herald in self.heralds.items():
-            self.arrive(now, ip, herald.dance(now, self.outs[ip], self.fleets[ip].dances))
+        for ip, node in self.nodes.items():
+            self.arrive(now, ip, node.tell_load(now, self.outs[ip], self.fleets[ip].dances))
 
     def arrive(self, now: float, source: str, deeds: list[Deed]) -> None:
         for deed in deeds:
@@ -58,7 +58,7 @@
         for about in ABOUTS:
             zones = {"z2"} if about.zone == "z2" else {"z0", "z1"}
             assert doors.fleets[about.ip].elsewhere == doors.out(zones, about.ip)
-    tellers = {(to, doors.heralds[source].peers.me.zone): source for source, to in doors.told}
+    tellers = {(to, doors.nodes[source].peers.me.zone): source for source, to in doors.told}
     assert set(doors.told) == {(source, to) for (to, _), source in tellers.items()} | {
         (a.ip, b.ip) for a in ABOUTS for b in ABOUTS if a.zone == b.zone and a != b
     }
@@ -69,7 +69,7 @@
     doors.outs = {about.ip: {1: 1} for about in ABOUTS}
     doors.tick(1.0)
     gone = next(source for source, to in doors.told if to == "d0" and source in {"d1", "d4", "d7", "d10"})
-    del doors.heralds[gone]
+    del doors.nodes[gone]
     doors.outs[gone] = {}
     doors.name_doors([row for row in doors.roster if row[0] != gone])
     doors.told.clear()
@@ -82,7 +82,7 @@
 
 def test_who_has_nothing_out_says_so_once_and_what_is_told_fits_a_datagram() -> None:
     doors = Doors()
-    doors.heralds["d0"].teller.allowed = 1e6  # bytes are no matter here
+    doors.nodes["d0"].teller.allowed = 1e6  # bytes are no matter here
     doors.outs["d0"] = {n: 1 + (n < 10) for n in range(3 * MOST_NAMES)}
     doors.tick(1.0)
     heard = doors.fleets["d3"].elsewhere
@@ -97,76 +97,88 @@
     assert not doors.told
 
 
-def listing(chance: random.Random, old: dict[str, Server]) -> dict[str, Server]:
+def listing(chance: random.Random, old: dict[str, ServerEntry]) -> dict[str, ServerEntry]:
     """The next list of a service: some are gone, some have come, some are in another state or cold again."""
     new = {name: server for name, server in old.items() if chance.random() < 0.95}
     for name in chance.sample(sorted(new), min(2, len(new))):
         new[name] = replace(new[name], accepting=chance.random() < 0.5, cold_until=chance.choice([0.0, 9.0]))
     for _ in range(chance.randrange(3)):
         name = f"i-{chance.randrange(10**6)}"
-        new[name] = Server(name, f"{name}:1", "z1", True, 2, "v1")
+        new[name] = ServerEntry(name, f"{name}:1", "z1", True, 2, "v1")
     return new
 
 
 def test_changes_of_a_table_bring_every_door_what_the_list_says_whatever_is_lost() -> None:
-    chance, reader = random.Random(5), Herald(Peers(replace(ABOUTS[0], disk=True), 0.0))
-    doors = [Herald(Peers(about, 0.0)) for about in ABOUTS[1:4]]
+    chance, reader = random.Random(5), Disseminator(Peers(replace(ABOUTS[0], disk=True), 0.0))
+    doors = [Disseminator(Peers(about, 0.0)) for about in ABOUTS[1:4]]
     for door in doors:
         door.peers.meet(0.0, reader.peers.me)
-    found = {f"i-{n}": Server(f"i-{n}", f"s{n}:1", "z0", True, 2, "v1") for n in range(40)}
+    found = {f"i-{n}": ServerEntry(f"i-{n}", f"s{n}:1", "z0", True, 2, "v1") for n in range(40)}
     sizes, wants = [], 0
     for step in range(300):
         found = listing(chance, found)
         reader.listed(1.0, 1000 + step, {"shop": found})
-        told = reader.news.pack_change(1.0, "shop")
+        told = reader.registry.encode_change(1.0, "shop")
         sizes.append(len(told[2]))
         for n, door in enumerate(doors):
             if chance.random() < 0.1:
                 continue  # lost on its way
-            for deed in door.take(1.0, told):
+            for deed in door.apply(1.0, told):
                 if isinstance(deed, Send) and deed.message["k"] == "ask":
                     wants += 1
-                    assert deed.to == "d0" and door.take(1.0, reader.news.pack(1.0, "shop"))
-            assert door.news.tables["shop"].servers == reader.news.tables["shop"].servers, (step, n)
-        for name, server in reader.news.tables["shop"].servers.items():
+                    assert deed.to == "d0" and door.apply(1.0, reader.registry.encode(1.0, "shop"))
+            assert door.registry.tables["shop"].servers == reader.registry.tables["shop"].servers, (step, n)
+        for name, server in reader.registry.tables["shop"].servers.items():
             assert found[name].same(server)  # less time to go until it is warm is no news
-        assert reader.news.tables["shop"].servers.keys() == found.keys()
+        assert reader.registry.tables["shop"].servers.keys() == found.keys()
     assert 50 < wants < 150 and max(sizes[1:]) < 10
 
 
 def test_a_change_counts_on_no_table_but_the_one_that_it_was_made_from() -> None:
-    one, other = Server("i-1", "s:1", "z0", True, 2, "v1"), Server("i-2", "s:2", "z0", True, 2, "v1")
-    third, fourth = Server("i-3", "s:3", "z0", True, 2, "v1"), Server("i-4", "s:4", "z0", True, 2, "v1")
-    reader, door = Herald(Peers(replace(ABOUTS[0], disk=True), 0.0)), Herald(Peers(ABOUTS[1], 0.0))
+    one, other = (
+        ServerEntry("i-1", "s:1", "z0", True, 2, "v1"),
+        ServerEntry("i-2", "s:2", "z0", True, 2, "v1"),
+    )
+    third, fourth = (
+        ServerEntry("i-3", "s:3", "z0", True, 2, "v1"),
+        ServerEntry("i-4", "s:4", "z0", True, 2, "v1"),
+    )
+    reader, door = (
+        Disseminator(Peers(replace(ABOUTS[0], disk=True), 0.0)),
+        Disseminator(Peers(ABOUTS[1], 0.0)),
+    )
     door.peers.meet(0.0, reader.peers.me)
     door.listed(1.0, 1000, {"shop": {"i-1": one, "i-3": third, "i-4": fourth}})  # another list, one version
     reader.listed(1.0, 1000, {"shop": {"i-1": one, "i-2": other, "i-3": third}})
     reader.listed(1.0, 1500, {"shop": {"i-1": replace(one, accepting=False), "i-2": other, "i-3": third}})
-    change = reader.news.pack_change(1.0, "shop")
+    change = reader.registry.encode_change(1.0, "shop")
     assert len(change) == 6 and len(change[2]) == 1
-    asked = door.take(1.0, change)
+    asked = door.apply(1.0, change)
     assert asked == [Send("d0", {"k": "ask", "s": "shop"})]
-    assert door.news.tables["shop"].servers.keys() == {"i-1", "i-3", "i-4"}
-    assert door.take(1.0, reader.news.pack(1.0, "shop")) and door.take(1.0, change) == []
-    assert door.news.tables["shop"].servers == reader.news.tables["shop"].servers
+    assert door.registry.tables["shop"].servers.keys() == {"i-1", "i-3", "i-4"}
+    assert door.apply(1.0, reader.registry.encode(1.0, "shop")) and door.apply(1.0, change) == []
+    assert door.registry.tables["shop"].servers == reader.registry.tables["shop"].servers
 
 
 def test_two_readers_that_go_on_from_one_version_make_no_common_one_and_the_newer_list_wins() -> None:
     """The time of day stands behind the version, and what the first reader told last has not reached the second one."""
-    one, other = Server("i-1", "s:1", "z0", True, 2, "v1"), Server("i-2", "s:2", "z0", True, 2, "v1")
-    first, second, door = (Herald(Peers(replace(about, disk=True), 0.0)) for about in ABOUTS[:3])
+    one, other = (
+        ServerEntry("i-1", "s:1", "z0", True, 2, "v1"),
+        ServerEntry("i-2", "s:2", "z0", True, 2, "v1"),
+    )
+    first, second, door = (Disseminator(Peers(replace(about, disk=True), 0.0)) for about in ABOUTS[:3])
     first.listed(1.0, 9000, {"shop": {"i-1": one, "i-2": other}})
-    for herald in (second, door):
-        herald.take(1.0, first.news.pack(1.0, "shop"))
+    for node in (second, door):
+        node.apply(1.0, first.registry.encode(1.0, "shop"))
     first.listed(2.0, 1000, {"shop": {"i-1": one, "i-2": replace(other, accepting=False)}})
-    door.take(2.0, first.news.pack(2.0, "shop"))
+    door.apply(2.0, first.registry.encode(2.0, "shop"))
     newest = {"i-1": replace(one, accepting=False), "i-2": replace(other, accepting=False)}
     for step in range(
         2
     ):  # it may take the other's table first, and sees at its next look that the list is another
         second.listed(3.0 + step, 1100, {"shop": dict(newest)})
         for source, to in ((second, door), (door, second)):
-            if to.news.newer(source.news.versions()):
-                to.take(3.0 + step, source.news.pack(3.0 + step, "shop"))
-    for herald in (second, door):
-        assert not any(server.accepting for server in herald.news.tables["shop"].servers.values())
+            if to.registry.outdated(source.registry.versions()):
+                to.apply(3.0 + step, source.registry.encode(3.0 + step, "shop"))
+    for node in (second, door):
+        assert not any(server.accepting for server in node.registry.tables["shop"].servers.values())
--- a/tests/test_forage.py
+++ b/tests/test_forage.py
@@ -12,12 +12,12 @@
 from comb.word import read
 from forage.fleet import HEARSAY, Fleet, Usual
 from forage.gate import Asked, Deny, Forager, Lease, Leave, Rule, Tick
+from hazelspring.registry.tables import ServerEntry, parse_instance_list, server_tag
 from nectar.bounds import QuotaRule
 from nectar.counter import Counter
 from nectar.credits import Call, Credits, Granted, Lapsed
 from orchidhill import interface as i
 from orchidhill.interface import Outcome
-from waggle.news import Server, parse, tag
 
 ZONES = {"a1": "a", "a2": "a", "b1": "b"}
 
@@ -55,9 +55,9 @@
 WORD = read(json.dumps(document()).encode())
 
 
-def servers(*names: str, accepting: bool = True) -> list[Server]:
+def servers(*names: str, accepting: bool = True) -> list[ServerEntry]:
     """Servers named by their zone and a number: a1-0."""
-    return [Server(name, f"{name}:1", name.split("-")[0], accepting, 2, "v1") for name in names]
+    return [ServerEntry(name, f"{name}:1", name.split("-")[0], accepting, 2, "v1") for name in names]
 
 
 class Gate:
@@ -192,7 +192,7 @@
 
 def test_load_that_others_tell_of_sends_requests_elsewhere() -> None:
     gate = Gate("a1-0", "a1-1")
-    gate.forager.fleet.danced(gate.now, "d2", {tag("a1-0"): 6})
+    gate.forager.fleet.danced(gate.now, "d2", {server_tag("a1-0"): 6})
     assert {gate.name(gate.ask("/r/1")[0]) for _ in range(3)} == {"a1-1"}
     gate.now += 2.0
     gate.handle(Tick())
@@ -204,18 +204,21 @@
     gate, told = Gate(*names), dict[str, tuple[float, dict[int, int]]]()
     for _ in range(400):
         gate.now += chance.choice([0.0, 0.05, 0.7])
-        door, outs = f"d{chance.randrange(5)}", {tag(n): chance.randrange(4) for n in chance.sample(names, 3)}
+        door, outs = (
+            f"d{chance.randrange(5)}",
+            {server_tag(n): chance.randrange(4) for n in chance.sample(names, 3)},
+        )
         told[door] = (gate.now, outs)
         gate.forager.fleet.danced(gate.now, door, outs)
         if chance.random() < 0.2:
             gate.forager.listed(gate.now, "shop", servers(*chance.sample(names, 4)))
         if chance.random() < 0.5:
             with pytest.raises((AttributeError, TypeError)):
-                gate.forager.fleet.danced(gate.now, door, {tag(names[0]): "x"})  # type: ignore[dict-item]
+                gate.forager.fleet.danced(gate.now, door, {server_tag(names[0]): "x"})  # type: ignore[dict-item]
         gate.handle(Tick())
         for server in gate.forager.fleet.servers.values():
             heard = [outs for at, outs in told.values() if gate.now - at <= HEARSAY]
-            assert server.others == sum(outs.get(tag(server.id), 0) for outs in heard)
+            assert server.others == sum(outs.get(server_tag(server.id), 0) for outs in heard)
 
 
 def test_a_denied_lease_refuses_until_the_edge_and_a_lost_counter_shortly() -> None:
@@ -351,8 +354,8 @@
         "serverState": "draining",
         "coldRemainingMs": 1500,
     }
-    (found,) = parse([json.dumps({"instanceList": {"i": entry}}).encode()], 5.0)["s"].values()
+    (found,) = parse_instance_list([json.dumps({"instanceList": {"i": entry}}).encode()], 5.0)["s"].values()
     assert not found.accepting and found.cold_until == 6.5
     for page in (b"{}", b"nothing", b'{"instanceList": {"i": {}}}'):
         with pytest.raises(ValueError):
-            parse([page], 5.0)
+            parse_instance_list([page], 5.0)
--- a/tests/test_front_stress.py
+++ b/tests/test_front_stress.py
@@ -17,6 +17,7 @@
 from comb.word import read
 from forage.fleet import Fleet
 from forage.gate import Forager, Rule, Tick
+from hazelspring.registry.tables import ServerEntry
 from hive import front
 from hive.front import Carrier, Front, Visitor
 from hive.servers import Line, Servers
@@ -26,7 +27,6 @@
 from ivymux.metrics import Counts
 from nectar.credits import Call, Granted, Lapsed
 from orchidhill.interface import Outcome
-from waggle.news import Server as Listed
 
 from .hostile_clients import KEY, TENANT, Crowd
 from .hostile_servers import Hostile
@@ -98,7 +98,7 @@
     def list_servers(self) -> None:
         now = self.carrier.clock()
         listed = [
-            Listed(server.id, address, server.zone, True, 40, "v1")
+            ServerEntry(server.id, address, server.zone, True, 40, "v1")
             for server, address in zip(self.servers, self.addresses, strict=True)
         ]
         for gone in self.forager.listed(now, "shop", listed):
--- a/tests/test_ill_servers.py
+++ b/tests/test_ill_servers.py
@@ -19,6 +19,7 @@
 from apiary.stands import Server, serve
 from forage.fleet import Fleet
 from forage.gate import Asked, Forager, Leave, Rule, Tick
+from hazelspring.registry.tables import server_tag
 from hive.front import Carrier
 from hive.servers import Servers
 from ivymux.config import parse_address
@@ -26,7 +27,6 @@
 from ivymux.metrics import Counts
 from orchidhill import interface as i
 from orchidhill.interface import Outcome
-from waggle.news import tag
 
 from .sockets import listening, run, until
 from .test_forage import WORD, ZONES, servers
@@ -118,7 +118,7 @@
                 self.at(self.now + how[0], "end", n, action.request, action.backend, self.now, how[1])
             elif isinstance(action, Leave):
                 name, since = self.live[n, action.request]
-                backend = self.doors[n].fleet.named[tag(name)].number
+                backend = self.doors[n].fleet.named[server_tag(name)].number
                 self.end(n, action.request, backend, since, Outcome.TIMEOUT)
 
     def end(self, n: int, request: int, backend: int, since: float, outcome: Outcome) -> None:
--- a/tests/test_instance_list.py
+++ b/tests/test_instance_list.py
@@ -10,11 +10,11 @@
 
 import pytest
 
+from hazelspring.registry.list_duty import READ_TIMEOUT
+from hazelspring.registry.tables import parse_instance_list
 from hive.instance_list import MAX_PAUSE, InstanceListClient, InstanceListError
 from hive.list_reader import ListReader
 from ivymux.config import parse_address
-from queenless.list_duty import READ_TIMEOUT
-from waggle.news import parse
 
 from .sockets import listening, run, until
 
@@ -70,7 +70,7 @@
     async def play() -> None:
         many = [Listing(2) for _ in range(6)]
         for listing in many:
-            assert set(parse(await listing.read(10.0), 0.0)["s"]) == {"i-1", "i-2"}
+            assert set(parse_instance_list(await listing.read(10.0), 0.0)["s"]) == {"i-1", "i-2"}
             assert set(listing.asked.values()) == {3} and listing.connections == 1  # what was read is kept
             bounds = 2 * [(0.05, 0.15), (0.1, 0.3)]
             assert all(low <= p <= high for p, (low, high) in zip(listing.paused, bounds, strict=True))
--- a/tests/test_list_duty.py
+++ b/tests/test_list_duty.py
@@ -6,10 +6,10 @@
 
 import pytest
 
+from hazelspring.registry.list_duty import LIST, READ_TIMEOUT, ListDuty
 from queenless.core import Core
 from queenless.deeds import Deed, Poll
 from queenless.invariants import LIST_KNOWN, LIST_READ
-from queenless.list_duty import LIST, READ_TIMEOUT, ListDuty
 
 from .world import World
 
@@ -56,7 +56,7 @@
 
     def unaware(self) -> list[str]:
         """Doors that still take a server for accepting."""
-        tables = {name: self.doors[name].core.news.tables for name in self.up()}  # type: ignore[union-attr]
+        tables = {name: self.doors[name].core.registry.tables for name in self.up()}  # type: ignore[union-attr]
         return [
             name
             for name, known in tables.items()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -10,9 +10,9 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from hazelspring.registry.list_duty import LIST
 from nectar.credits import Granted
 from queenless.core import SHARDS
-from queenless.list_duty import LIST
 from swarm.rendezvous import shard
 
 from .world import Call, Disk, World
@@ -398,4 +398,4 @@
 def knows(stage: Stage) -> None:
     for name in stage.world.up():
         core: Any = stage.world.doors[name].core
-        assert not core.news.tables["shop"].servers["i-1"].accepting
+        assert not core.registry.tables["shop"].servers["i-1"].accepting
--- a/tests/test_teller.py
+++ b/tests/test_teller.py
@@ -9,6 +9,7 @@
 import pytest
 
 from forage.fleet import HEARSAY, Fleet
+from hazelspring.registry.tables import server_tag
 from hive.settings import Limits
 from queenless.deeds import Deed, Send
 from queenless.teller import (
@@ -28,12 +29,11 @@
 )
 from swarm.peers import About, Peers
 from swarm.rendezvous import owner
-from waggle.news import tag
 
 TICK = 0.05
 CALLS = 142  # a second of a door to counters at the peak,
 AT_SERVERS = 36  # and requests that a door has out at the peak
-SERVERS = [tag(f"i-{n:05d}") for n in range(180)]
+SERVERS = [server_tag(f"i-{n:05d}") for n in range(180)]
 ALLOWED = budget(250_000.0)  # of a link of 2 Mbit/s, the narrowest that a door has
 
 
--- a/tests/test_unforeseen_errors.py
+++ b/tests/test_unforeseen_errors.py
@@ -171,7 +171,7 @@
 
         for owner, name, what in (
             (door.core, "tick", "core tick"),
-            (door.core.herald, "dance", "tick"),
+            (door.core.disseminator, "tell_load", "tick"),
             (door, "freshen", "core tick"),
         ):
             with monkeypatch.context() as patch:
--- a/tests/world.py
+++ b/tests/world.py
@@ -17,14 +17,14 @@
 
 from comb.state import State, lineage
 from comb.word import digest
+from hazelspring.registry.list_duty import LIST
+from hazelspring.registry.tables import ServerEntry
 from nectar.bounds import QuotaRule
 from nectar.credits import Granted, Lapsed
 from queenless.core import Core, Start
 from queenless.deeds import Changed, Danced, Deed, Message, Poll, Save, Send, Violated
-from queenless.list_duty import LIST
 from queenless.order import Done
 from swarm.peers import About
-from waggle.news import Server
 
 TICK, SYNC, REVOCATION = 0.05, 0.002, 5.0
 STALE = 0.9  # as hive.door has it
@@ -111,8 +111,8 @@
         self.calls: dict[int, Call] = {}
         self.tokens = itertools.count(1)
         self.decided: dict[int, State] = {}  # by version, as doors came to know of it
-        self.listing: dict[str, dict[str, Server]] | None = {
-            "shop": {"i-1": Server("i-1", "s:1", "z0", True, 2, "v1")}
+        self.listing: dict[str, dict[str, ServerEntry]] | None = {
+            "shop": {"i-1": ServerEntry("i-1", "s:1", "z0", True, 2, "v1")}
         }
         self.breaches: list[str] = []
         for n in range(core + others):
