Put comments where the formatter does not tear lines for them

Need: reading the change once more: the formatter had wrapped two constants, an except and a field around comments at their ends, and a rename had reached into a docstring. Change: comments stand above what they are of. No code changes.

--- a/apiary/stands.py
+++ b/apiary/stands.py
@@ -69,9 +69,8 @@
     misdirected: int = 0  # requests for another life that it turned away
     notes: int = -1  # the descriptor of a file that is told what runs, before it does
     drained_at: float = math.inf  # when it was listed as draining, in steady seconds
-    after_drain: list[tuple[float, str]] = field(
-        default_factory=list
-    )  # what came later: when, and attempt ids
+    # what came later: when, and attempt ids
+    after_drain: list[tuple[float, str]] = field(default_factory=list)
 
     def drain(self) -> None:
         """It leaves: the list says so from now on."""
--- a/forage/fleet.py
+++ b/forage/fleet.py
@@ -89,7 +89,7 @@
     named: dict[int, Server] = field(default_factory=dict)  # by tag
 
     def outs(self) -> dict[int, int]:
-        """This door's requests at servers, by server_tag, for the others to know."""
+        """This door's requests at servers, by tag, for the others to know."""
         return {server_tag(server.id): server.out for server in self.servers.values() if server.out}
 
     def danced(self, now: float, door: str, outs: dict[int, int]) -> None:
--- a/hazelspring/registry/list_duty.py
+++ b/hazelspring/registry/list_duty.py
@@ -10,13 +10,11 @@
 
 LIST = 0  # the number of this duty
 READ_INTERVAL = 0.5  # seconds between the beginnings of two reads
-READ_TIMEOUT = (
-    1.5  # seconds for one read: half of the shortest time in which nodes must hear of a server's end
-)
+# seconds for one read: half of the shortest time in which nodes must hear of a server's end
+READ_TIMEOUT = 1.5
 READ_DEADLINE = READ_TIMEOUT + 0.25  # seconds after which a read whose end was not heard is given up
-OVERDUE = (
-    READ_INTERVAL + READ_TIMEOUT
-)  # seconds without a read, of which a slow platform takes less: one has failed
+# seconds without a read after which one has failed: a slow platform takes less
+OVERDUE = READ_INTERVAL + READ_TIMEOUT
 NEVER = -1e9
 
 
--- a/hive/instance_list.py
+++ b/hive/instance_list.py
@@ -87,10 +87,8 @@
         try:
             async with asyncio.timeout(READ_TIMEOUT):
                 return await self._walk()
-        except (
-            Exception
-        ) as error:  # whatever a transport or parser raises, a read has failed and its connection goes
-            self.close()
+        except Exception as error:
+            self.close()  # whatever a transport or parser raised, the read has failed and its connection goes
             text = str(error) or type(error).__name__
             raise InstanceListError(f"list of servers, {self.address.host}: {text}") from error
 
