--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -485,8 +485,14 @@
     run(test())
 
 
-def test_idle_connections_are_retired_before_the_backend_closes_them() -> None:
+@pytest.mark.parametrize("drawn", [0.0, 0.5, 1.0])
+def test_idle_connections_are_retired_before_the_backend_closes_them(
+    monkeypatch: pytest.MonkeyPatch, drawn: float
+) -> None:
+    """A connection is left alone up to its own age and retired past it, at each end of the ages' spread."""
+
     async def test() -> None:
+        monkeypatch.setattr("ivymux.link.random.random", lambda: drawn)
         backend = Backend()
         async with (
             listening(backend.handle) as dial,
@@ -494,13 +500,19 @@
             Client(door.server) as client,
         ):
             assert (await client.ask()).status == 200
-            assert backend.open == 1
-            pool = door.host.upstream.pools[FIRST]
-            pool.idle[0].idle_since -= 16.0  # the backends' idle time is 30 s
-            door.host.upstream.sweeper.cancel()
-            door.host.upstream.sweep()
+            upstream = door.host.upstream
+            pool = upstream.pools[FIRST]
+            (link,) = pool.idle
+            age = link.age_part * upstream.keep_idle
+            assert age < 0.9 * 30.0  # the backends' idle time is 30 s
+            upstream.sweeper.cancel()
+            link.idle_since = time.monotonic() - age + 5.0
+            upstream.sweep()
+            assert list(pool.idle) == [link] and backend.open == 1
+            link.idle_since = time.monotonic() - age - 0.01
+            upstream.sweep()
             await until(lambda: backend.open == 0)
-            assert not pool.links and door.host.upstream.open == 0
+            assert not pool.links and upstream.open == 0
 
     run(test())
 
