--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -182,3 +182,20 @@
                 to.apply(3.0 + step, source.registry.encode(3.0 + step, "shop"))
     for node in (second, door):
         assert not any(server.accepting for server in node.registry.tables["shop"].servers.values())
+
+
+def test_two_readers_of_one_millisecond_make_no_common_version_and_all_come_to_the_newer_list() -> None:
+    one = ServerEntry("i-1", "s:1", "z0", True, 2, "v1")
+    nodes = [Disseminator(Peers(replace(about, disk=True), 0.0)) for about in ABOUTS[:3]]
+    first, second, door = nodes
+    first.listed(1.0, 5000, {"shop": {"i-1": one}})
+    second.listed(1.0, 5000, {"shop": {"i-1": replace(one, accepting=False)}})
+    for source in (first, second):
+        door.apply(1.0, source.registry.encode(1.0, "shop"))
+    for step in range(2):  # the newest list is read again, by whoever reads it from then on
+        second.listed(2.0 + step, 5500 + 500 * step, {"shop": {"i-1": replace(one, accepting=False)}})
+        for source in nodes:
+            for to in nodes:
+                if to.registry.outdated(source.registry.versions()):
+                    to.apply(2.0 + step, source.registry.encode(2.0 + step, "shop"))
+    assert not any(node.registry.tables["shop"].servers["i-1"].accepting for node in nodes)
--- a/tests/test_instance_list.py
+++ b/tests/test_instance_list.py
@@ -23,10 +23,13 @@
 
 
 class Listing:
-    """A platform with two pages that refuses the first few asks for each of them."""
+    """A platform with two pages that refuses the first few asks for each of them; `more` stands on both pages."""
 
-    def __init__(self, refusals: int, status: int = 429, last: bool = False) -> None:
+    def __init__(
+        self, refusals: int, status: int = 429, last: bool = False, more: dict[str, object] | None = None
+    ) -> None:
         self.refusals, self.status, self.last = refusals, status, last
+        self.more = more or {}
         self.asked: Counter[str] = Counter()
         self.connections = 0
         self.writers: list[asyncio.StreamWriter] = []
@@ -39,7 +42,7 @@
             path = (await reader.readuntil(b"\r\n\r\n")).split()[1].decode()
             self.asked[path] += 1
             name, token = PAGES[path]
-            body = json.dumps({"instanceList": {name: ENTRY}, "nextToken": token}).encode()
+            body = json.dumps({"instanceList": {**self.more, name: ENTRY}, "nextToken": token}).encode()
             status = self.status if self.asked[path] <= self.refusals else 200
             writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body))
             if self.last:
@@ -162,3 +165,28 @@
             reader.close()
 
     run(play())
+
+
+MALFORMED: dict[str, object] = {
+    "i-nothing": None,
+    "i-text": "accepting",
+    "i-no-state": {key: value for key, value in ENTRY.items() if key != "serverState"},
+    "i-service": {**ENTRY, "service": ["s"]},
+    "i-slots": {**ENTRY, "capacitySlots": "two"},
+    "i-cold": {**ENTRY, "coldRemainingMs": "soon"},
+    "i-zone": {**ENTRY, "zone": 3},
+    "i-no-port": {**ENTRY, "address": "10.0.0.9"},
+    "i-port": {**ENTRY, "address": "10.0.0.9:http"},
+}
+
+
+def test_a_malformed_entry_is_passed_over_and_keeps_no_other_server_from_being_known() -> None:
+    async def play() -> None:
+        async with listening(Listing(0, more=MALFORMED).serve) as address:
+            reader = ListReader(parse_address(address), 10.0)
+            found = await reader.read()
+            assert found is not None and found.keys() == {"s"}
+            assert found["s"].keys() == {"i-1", "i-2"}
+            reader.close()
+
+    run(play())
--- a/tests/test_unforeseen_errors.py
+++ b/tests/test_unforeseen_errors.py
@@ -57,6 +57,25 @@
     run(test())
 
 
+def test_a_periodic_call_is_made_again_where_its_interval_cannot_be_told() -> None:
+    async def test() -> None:
+        errors, calls = list[Exception](), list[int]()
+
+        def interval() -> float:
+            if len(calls) == 2:
+                raise Unforeseen
+            return 0.001
+
+        periodic = Periodic(
+            asyncio.get_running_loop(), interval, lambda: calls.append(len(calls)), errors.append
+        )
+        await until(lambda: len(calls) > 3)
+        assert len(errors) == 1
+        periodic.cancel()
+
+    run(test())
+
+
 def test_a_client_that_cannot_be_looked_at_keeps_no_other_from_it(monkeypatch: pytest.MonkeyPatch) -> None:
     class Desk:
         counts = Counts()
