Go on with a periodic call whose interval cannot be told

Cause: the interval was asked for while the next call was set up; one that raised left no timer. Change: call and interval are guarded together; the next call comes after the last interval that was told. Ruled out: a fixed interval for the ticker (an idle node looks at its core half as often, which is priced).

--- a/ivymux/periodic.py
+++ b/ivymux/periodic.py
@@ -9,8 +9,9 @@
 class Periodic:
     """Calls `call` every `interval` seconds, counted from the end of the last call, until it is cancelled.
 
-    `interval` is a number or a function that is asked after each call.  An exception that `call` raises goes to
-    `failed`, and the next call is made as ever: a timer that an error has ended would be missed by nobody.
+    `interval` is a number or a function that is asked after each call.  An exception that either raises goes to
+    `failed`, and the next call is made after the last interval that was told: a timer that an error has ended would be
+    missed by nobody.
     """
 
     def __init__(
@@ -25,22 +26,23 @@
         self.call = call
         self.failed = failed
         self.cancelled = False
-        self.timer = self._schedule()
+        self.seconds = self._next_interval()
+        self.timer = self.loop.call_later(self.seconds, self._run)
 
     def cancel(self) -> None:
         """Make no further call."""
         self.cancelled = True
         self.timer.cancel()
 
-    def _schedule(self) -> asyncio.TimerHandle:
-        interval = self.interval() if callable(self.interval) else self.interval
-        return self.loop.call_later(interval, self._run)
+    def _next_interval(self) -> float:
+        return self.interval() if callable(self.interval) else self.interval
 
     def _run(self) -> None:
         try:
             self.call()
+            self.seconds = self._next_interval()
         except Exception as error:
             self.failed(error)
         finally:
             if not self.cancelled:
-                self.timer = self._schedule()
+                self.timer = self.loop.call_later(self.seconds, self._run)
