Make a version of a table by the time of day and the node, so that no two nodes make one

Cause: two nodes that read the list in one millisecond made tables of one version with different servers. Neither was seen as outdated, so a node that took the older one kept a server that leaves until its service changed again, and list_known held. Change: milliseconds above, 20 bits of the node's tag below (NODE_BITS). Ruled out: a checksum beside each version (told with each heartbeat, 4 bytes a service); 32 bits (a version beyond 64).

--- a/hazelspring/registry/tables.py
+++ b/hazelspring/registry/tables.py
@@ -10,7 +10,7 @@
 
 from swarm.rendezvous import owner
 
-VERSION_STEPS = 256  # steps that nodes go on by where the time of day stands behind a version: milliseconds
+NODE_BITS = 20  # low bits of a version, by the node that made it; above them stand milliseconds
 WARMER = 0.5  # seconds by which a server must become cold for longer to be told anew
 
 
@@ -97,7 +97,7 @@
 
     def __init__(self, node: str = "") -> None:
         """`node`: the address of this node, which its versions are told apart by."""
-        self.step = 1 + server_tag(node) % VERSION_STEPS
+        self.node_bits = server_tag(node) % (1 << NODE_BITS)
         self.tables: dict[str, ServiceTable] = {}
         self.known_versions: dict[str, int] | None = None  # until one changes
 
@@ -110,13 +110,7 @@
     def update_from_list(
         self, now: float, wall_ms: int, found: dict[str, dict[str, ServerEntry]]
     ) -> list[str]:
-        """A list has come from the platform; the services that it changes.
-
-        Versions grow also where the reader of the list before this one was not heard to the end: they follow the time
-        of day.  Where that stands behind them, two readers that go on from one version must not come to the same one
-        with different servers, as nodes that hold either would take it for the other: each node goes on by a step of
-        its own.
-        """
+        """A list has come from the platform; the services that it changes."""
         services = []
         for service in {**self.tables, **found}:
             servers, table = found.get(service, {}), self.tables.get(service)
@@ -129,12 +123,23 @@
                 continue
             previous, anew = table.version if table is not None else 0, set(changed)
             kept = {name: server if name in anew else old[name] for name, server in servers.items()}
-            version = max(previous + self.step, wall_ms)
+            version = self._next_version(previous, wall_ms)
             self.tables[service] = ServiceTable(version, kept, previous, changed, removed)
             services.append(service)
             self.known_versions = None
         return services
 
+    def _next_version(self, previous: int, wall_ms: int) -> int:
+        """A version above `previous` that no other node makes.
+
+        It follows the time of day, so that it grows also where the last reader of the list was not heard to the end.
+        Two readers may go on from one version where that time stands behind it, or read in one millisecond.  They must
+        not come to a common version with different servers, as a node that holds either would take it for the other
+        and ask for no other: so the low bits are the node's own.
+        """
+        milliseconds = max((previous >> NODE_BITS) + 1, wall_ms)
+        return milliseconds << NODE_BITS | self.node_bits
+
     def encode(self, now: float, service: str) -> list[Any]:
         """A whole table as it goes to other nodes: service, version, rows."""
         table = self.tables[service]
