Move the parsing of the platform's list out of the tables of the registry

Need: a module with one job each, before the parsing is mended. Change: parse_instance_list and its entry go to hazelspring/registry/instance_list.py; no behaviour changes.

--- a/bench/scale/program.py
+++ b/bench/scale/program.py
@@ -14,14 +14,9 @@
 from comb.delta import difference, follow
 from comb.word import digest, read
 from forage.fleet import Fleet
+from hazelspring.registry.instance_list import parse_instance_list
 from hazelspring.registry.list_duty import LIST
-from hazelspring.registry.tables import (
-    ServerEntry,
-    ServerRegistry,
-    home_node,
-    parse_instance_list,
-    server_tag,
-)
+from hazelspring.registry.tables import ServerEntry, ServerRegistry, home_node, server_tag
 from nectar.bounds import QuotaRule
 from nectar.counter import Counter
 from nectar.credits import Credits
--- a/hazelspring/registry/tables.py
+++ b/hazelspring/registry/tables.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
@@ -55,32 +54,6 @@
     return zlib.crc32(name.encode())
 
 
-def parse_instance_list(pages: Iterable[bytes], now: float) -> dict[str, dict[str, ServerEntry]]:
-    """The platform's pages as servers by service and id.  Raises ValueError where a page is none."""
-    found: dict[str, dict[str, ServerEntry]] = {}
-    for page in pages:
-        try:
-            listed: dict[str, dict[str, Any]] = json.loads(page)["instanceList"]
-            for name, entry in listed.items():
-                found.setdefault(entry["service"], {})[name] = _parse_entry(name, entry, now)
-        except (KeyError, TypeError, AttributeError) as error:
-            raise ValueError(f"a page of the list lacks {error}") from None
-    return found
-
-
-def _parse_entry(name: str, entry: dict[str, Any], now: float) -> ServerEntry:
-    cold_ms = entry.get("coldRemainingMs")
-    return ServerEntry(
-        name,
-        entry["address"],
-        entry["zone"],
-        entry["serverState"] == "accepting",
-        int(entry.get("capacitySlots") or 1),
-        str(entry.get("versionNumber", "")),
-        now + cold_ms / 1000 if cold_ms else 0.0,
-    )
-
-
 def _encode_entry(now: float, entry: ServerEntry) -> list[Any]:
     """Times to go instead of times, as clocks of nodes differ."""
     cold = round(max(0.0, entry.cold_until - now), 2)
--- a/hive/list_reader.py
+++ b/hive/list_reader.py
@@ -4,7 +4,8 @@
 
 import asyncio
 
-from hazelspring.registry.tables import ServerEntry, parse_instance_list
+from hazelspring.registry.instance_list import parse_instance_list
+from hazelspring.registry.tables import ServerEntry
 from hive.instance_list import InstanceListClient, InstanceListError
 from hive.log import log
 from ivymux.config import Address
--- a/tests/test_forage.py
+++ b/tests/test_forage.py
@@ -12,7 +12,8 @@
 from comb.word import read
 from forage.fleet import HEARSAY, Fleet, Usual
 from forage.gate import Asked, Deny, Forager, Lease, Leave, Rule, Tick
-from hazelspring.registry.tables import ServerEntry, parse_instance_list, server_tag
+from hazelspring.registry.instance_list import parse_instance_list
+from hazelspring.registry.tables import ServerEntry, server_tag
 from nectar.bounds import QuotaRule
 from nectar.counter import Counter
 from nectar.credits import Call, Credits, Granted, Lapsed
--- a/tests/test_instance_list.py
+++ b/tests/test_instance_list.py
@@ -10,8 +10,8 @@
 
 import pytest
 
+from hazelspring.registry.instance_list import parse_instance_list
 from hazelspring.registry.list_duty import READ_TIMEOUT
-from hazelspring.registry.tables import parse_instance_list
 from hive.instance_list import MAX_PAUSE, InstanceListClient, InstanceListError
 from hive.list_reader import ListReader
 from ivymux.config import parse_address
