Pass over a malformed entry of the platform's list instead of failing the read

Cause: one entry without a state, or with text for a number, failed the read of the whole list at every node. An address without a port passed the reading and ended the placing of all servers behind it. Change: such an entry is as one that isn't listed; its id is logged once and counted (list_malformed_entries). Where no entry can be read the read fails, so that a platform that speaks another language empties no node. Ruled out: keeping what was known of that server (its state is just what can't be read); a schema library for each read (twice a second over all servers, and processor time is priced).

--- a/bench/scale/program.py
+++ b/bench/scale/program.py
@@ -115,7 +115,7 @@
 
 
 def parse_list(page: bytes) -> Listing:
-    return parse_instance_list([page], 0.0)
+    return parse_instance_list([page], 0.0).servers
 
 
 def news_of(found: Listing) -> ServerRegistry:
--- a/hive/list_reader.py
+++ b/hive/list_reader.py
@@ -10,6 +10,8 @@
 from hive.log import log
 from ivymux.config import Address
 
+MAX_NAMES = 5  # ids in one line of the log
+
 ServersByService = dict[str, dict[str, ServerEntry]]
 
 
@@ -24,6 +26,7 @@
         self.failures = 0
         self.read_at: float | None = None  # of the last read that succeeded, in the loop's seconds
         self.is_reader = False  # as it was last logged
+        self.malformed: tuple[str, ...] = ()  # ids of entries that the last read passed over
 
     def reconfigure(self, address: Address, rate: float) -> None:
         """Use another address or rate from the next read on."""
@@ -42,20 +45,33 @@
         client = self.reading = self.client
         try:
             found = parse_instance_list(await client.read_pages(), self.loop.time())
-        except (InstanceListError, ValueError) as error:
-            self.failures += 1
-            log.say("registry", "could not read the list", error=error)
-            return None
         except Exception as error:  # the node waits for every read to end
             self.failures += 1
-            log.failed("registry", "could not read the list", error)
+            self._log_failure(error)
             return None
         finally:
             if self.reading is client:
                 self.reading = None
         self.reads += 1
         self.read_at = self.loop.time()
-        return found
+        self._log_malformed(found.malformed)
+        return found.servers
+
+    @staticmethod
+    def _log_failure(error: Exception) -> None:
+        """Log why a read failed; where nobody foresaw the error, also where it arose."""
+        sentence = "could not read the list"
+        if isinstance(error, InstanceListError | ValueError):
+            log.say("registry", sentence, error=error)
+        else:
+            log.failed("registry", sentence, error)
+
+    def _log_malformed(self, malformed: tuple[str, ...]) -> None:
+        """Log the entries that a read has passed over, where they are not those of the read before."""
+        if malformed != self.malformed:
+            names = ",".join(malformed[:MAX_NAMES])
+            log.say("registry", "passed over entries of the list", count=len(malformed), ids=names)
+        self.malformed = malformed
 
     def log_role(self, is_reader: bool) -> None:
         """Log when this node becomes the one that reads the list, and when it ceases to be."""
--- a/hive/node_metrics.py
+++ b/hive/node_metrics.py
@@ -67,6 +67,7 @@
     yield Sample("list_age_seconds", door.core.freshness.age(now))
     yield Sample("list_reads_total", reader.reads, (("result", "read"),))
     yield Sample("list_reads_total", reader.failures, (("result", "failed"),))
+    yield Sample("list_malformed_entries", len(reader.malformed))
     if reader.read_at is not None:
         yield Sample("list_read_ago_seconds", now - reader.read_at)
     for service, table in door.core.registry.tables.items():
--- a/tests/test_forage.py
+++ b/tests/test_forage.py
@@ -355,8 +355,10 @@
         "serverState": "draining",
         "coldRemainingMs": 1500,
     }
-    (found,) = parse_instance_list([json.dumps({"instanceList": {"i": entry}}).encode()], 5.0)["s"].values()
+    (found,) = (
+        parse_instance_list([json.dumps({"instanceList": {"i": entry}}).encode()], 5.0).servers["s"].values()
+    )
     assert not found.accepting and found.cold_until == 6.5
-    for page in (b"{}", b"nothing", b'{"instanceList": {"i": {}}}'):
+    for page in (b"{}", b"nothing", b'{"instanceList": {"i": {}}}', b'{"instanceList": []}', b"[]"):
         with pytest.raises(ValueError):
             parse_instance_list([page], 5.0)
--- a/tests/test_instance_list.py
+++ b/tests/test_instance_list.py
@@ -73,7 +73,7 @@
     async def play() -> None:
         many = [Listing(2) for _ in range(6)]
         for listing in many:
-            assert set(parse_instance_list(await listing.read(10.0), 0.0)["s"]) == {"i-1", "i-2"}
+            assert set(parse_instance_list(await listing.read(10.0), 0.0).servers["s"]) == {"i-1", "i-2"}
             assert set(listing.asked.values()) == {3} and listing.connections == 1  # what was read is kept
             bounds = 2 * [(0.05, 0.15), (0.1, 0.3)]
             assert all(low <= p <= high for p, (low, high) in zip(listing.paused, bounds, strict=True))
@@ -173,6 +173,7 @@
     "i-no-state": {key: value for key, value in ENTRY.items() if key != "serverState"},
     "i-service": {**ENTRY, "service": ["s"]},
     "i-slots": {**ENTRY, "capacitySlots": "two"},
+    "i-endless": {**ENTRY, "capacitySlots": float("inf")},
     "i-cold": {**ENTRY, "coldRemainingMs": "soon"},
     "i-zone": {**ENTRY, "zone": 3},
     "i-no-port": {**ENTRY, "address": "10.0.0.9"},
@@ -187,6 +188,7 @@
             found = await reader.read()
             assert found is not None and found.keys() == {"s"}
             assert found["s"].keys() == {"i-1", "i-2"}
+            assert set(reader.malformed) == MALFORMED.keys()
             reader.close()
 
     run(play())
