Try again whatever error keeps a socket, the settings or an orderly end from their turn

The mesh gave up opening its socket for datagrams at an error that was no OSError, and nobody heard of that task's end: the node runs on and hears nobody. A change of the settings file counted as seen before it was taken, so a file that could not be read for a moment (descriptors, disk) was never read again. An error while duties are given up ended the process with requests in hand. Change: the mesh's tasks go through the supervisor (its own copy of that is gone) and opening is tried whatever fails; a file is seen once it was taken or refused, and one that is no text is refused as settings; giving up duties is guarded. Ruled out: ending the process where its socket can't be opened (it holds requests that it can still answer).

--- a/hive/__main__.py
+++ b/hive/__main__.py
@@ -14,10 +14,11 @@
 
 from hive import log, rescue
 from hive.door import Door
-from hive.settings import Settings, SettingsError, load
+from hive.settings import Settings, SettingsError, UnreadableSettingsError, load
 from ivymux.periodic import Periodic
 
 MOST_PORT = 65_535
+NO_FILE = (0, 0)
 LOOK = 1.0  # seconds between looks whether the settings file has changed: what it may change is needed seldom
 
 
@@ -26,25 +27,31 @@
 
     def __init__(self, path: str, take: Callable[[Settings], None]) -> None:
         self.path, self.take = path, take
-        self.seen = self.stamp()
+        self.seen = self.stamp()  # of the last file that was taken or refused
 
     def stamp(self) -> tuple[int, int]:
+        """What tells two states of the file apart; NO_FILE where it can't be looked at."""
         try:
             found = os.stat(self.path)
             return found.st_mtime_ns, found.st_size
         except OSError:
-            return 0, 0
+            return NO_FILE
 
     def look(self, asked: bool = False) -> None:
-        """Read it where it was changed; what cannot be used is said, and changes nothing."""
+        """Take the file where it was changed.  One that can't be used is logged, and changes nothing; one that can't
+        be read, or is not taken for an error that nobody foresaw, is tried again with the next look."""
         stamp = self.stamp()
-        if stamp == self.seen and not asked:
+        if stamp in (self.seen, NO_FILE) and not asked:
             return
-        self.seen = stamp
         try:
-            self.take(load(self.path))
+            settings = load(self.path)
         except SettingsError as error:
             log.log.say("hive", "new settings cannot be used", problem=error)
+            if not isinstance(error, UnreadableSettingsError):
+                self.seen = stamp
+            return
+        self.take(settings)
+        self.seen = stamp
 
 
 async def serve(settings: Settings, path: str, metrics_port: int = 0) -> None:
--- a/hive/door.py
+++ b/hive/door.py
@@ -78,7 +78,7 @@
         self.servers = Servers(CONNECT, IDLE, most // 3, self.counts)
         self.carrier = Carrier(self.forager, self.servers, self.counts, self.lease)
         self.front = Front(settings.front, self.carrier, most // 2, self.fresh)
-        self.mesh = Mesh(settings.ip, settings.port, self.heard)
+        self.mesh = Mesh(settings.ip, settings.port, self.heard, self.supervisor)
         self.desks = self.make_desks(settings)
         metrics = Address(settings.ip, metrics_port)
         self.metrics_desk = Desk(metrics, self, frozenset()) if metrics_port else None
@@ -377,7 +377,7 @@
         """Leave in order: clients are sent elsewhere, duties go to others, what is held is finished."""
         began = self.loop.time()
         self.draining = self.forager.leaving = True
-        self.carry_out(self.core.drain(began))
+        self.supervisor.guard("give duties up", lambda: self.carry_out(self.core.drain(began)))
         log.say("hive", "drains", open=self.carrier.waiting)
         await asyncio.sleep(LINGER)
         self.front.stop_listening()
--- a/hive/mesh.py
+++ b/hive/mesh.py
@@ -4,18 +4,20 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from typing import Any
 
 import cbor2
 
 from hive.log import log
+from hive.supervisor import Supervisor
 
 MOST_DATAGRAM = 1200  # bytes: fits a packet on any link
 MOST_MESSAGE = 8 << 20
 REOPEN = 0.2  # seconds until a socket that could not be opened is tried again: half of a heartbeat's interval
 PATIENCE = 2.0  # seconds for a message that goes by TCP; what asked for it asks again sooner
 MOST_OUT = 64  # such messages on their way at once
+OPEN_SOCKET = "open a socket"  # the name under which failures to do so are counted
 
 
 class Datagrams(asyncio.DatagramProtocol):
@@ -35,11 +37,13 @@
 class Mesh:
     """`heard` gets each message with its sender's address."""
 
-    def __init__(self, ip: str, port: int, heard: Callable[[str, dict[str, Any]], None]) -> None:
-        self.ip, self.port, self.heard = ip, port, heard
+    def __init__(
+        self, ip: str, port: int, heard: Callable[[str, dict[str, Any]], None], supervisor: Supervisor
+    ) -> None:
+        self.ip, self.port, self.heard, self.supervisor = ip, port, heard, supervisor
         self.transport: asyncio.DatagramTransport | None = None
         self.server: asyncio.Server | None = None
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.delivering = 0  # messages on their way by TCP
         self.loop = asyncio.get_running_loop()
         self.closed = False
         self.message: dict[str, Any] = {}  # the last one,
@@ -60,21 +64,17 @@
         self.transport = None
         if not self.closed:
             log.say("mesh", "lost its socket, opens another", error=error)
-            self.start_task(self.reopen_socket())
+            self.supervisor.start(OPEN_SOCKET, self.reopen_socket())
 
     async def reopen_socket(self) -> None:
+        """Try until there is a socket, whatever keeps one from being opened."""
         while self.transport is None:
             try:
                 await self.open_socket()
-            except OSError as error:
-                log.say("mesh", "cannot open its socket", error=error)
+            except Exception as error:
+                self.supervisor.failed(OPEN_SOCKET, error)
                 await asyncio.sleep(REOPEN)
 
-    def start_task(self, work: Coroutine[Any, Any, None]) -> None:
-        task = self.loop.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
     def send(self, to: str, message: dict[str, Any]) -> None:
         """One message may go to many, one after another: it is encoded once, and not to be changed between."""
         if message is not self.message:
@@ -84,8 +84,9 @@
             if self.transport is not None:
                 with contextlib.suppress(OSError):
                     self.transport.sendto(data, (to, self.port))
-        elif len(self.tasks) < MOST_OUT:
-            self.start_task(self.deliver(to, data))
+        elif self.delivering < MOST_OUT:
+            self.delivering += 1
+            self.supervisor.start("deliver a message", self.deliver(to, data))
         else:
             log.say("mesh", "too many large messages are on their way", peer=to)
 
@@ -99,10 +100,10 @@
                     await reader.read(1)  # its end says that it was read
                 finally:
                     writer.transport.abort()
-        except (
-            Exception
-        ) as error:  # also of a write to a connection that was reset, which has no type of its own
+        except Exception as error:  # a write to a connection that was reset raises no type of its own
             log.say("mesh", "a message did not arrive", peer=to, error=type(error).__name__)
+        finally:
+            self.delivering -= 1
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -132,5 +133,3 @@
             self.transport.close()
         if self.server is not None:
             self.server.close()
-        for task in self.tasks:
-            task.cancel()
--- a/hive/settings.py
+++ b/hive/settings.py
@@ -21,6 +21,10 @@
     code = "settings"
 
 
+class UnreadableSettingsError(SettingsError):
+    """The settings file could not be read; it may be readable later."""
+
+
 class AddressField(fields.Field):  # type: ignore[type-arg]
     def _deserialize(self, value: Any, attr: Any, data: Any, **kwargs: Any) -> Address:
         try:
@@ -210,6 +214,9 @@
 
 def load(path: str) -> Settings:
     try:
-        return parse(Path(path).read_text())
+        text = Path(path).read_text()
     except OSError as error:
-        raise SettingsError(f"{path}: {error.strerror}") from None
+        raise UnreadableSettingsError(f"{path}: {error.strerror}") from None
+    except UnicodeDecodeError as error:
+        raise SettingsError(f"{path}: no text: {error}") from None
+    return parse(text)
--- a/tests/test_unforeseen_errors.py
+++ b/tests/test_unforeseen_errors.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
@@ -12,8 +13,9 @@
 
 from apiary.stands import Stands
 from apiary.yard import Yard, configuration
+from hive.__main__ import Watched
 from hive.door import Door
-from hive.settings import load
+from hive.settings import Settings, load
 from ivymux.caller import Client, Listener
 from ivymux.config import parse_address
 from ivymux.counter import LINES, Counter
@@ -282,6 +284,67 @@
     with_door(tmp_path, play)
 
 
+@pytest.mark.parametrize("where", ["taken", "read"])
+def test_a_change_of_the_settings_that_could_not_be_taken_is_taken_later(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, where: str
+) -> None:
+    path, taken = tmp_path / "settings", list[Settings]()
+    path.write_text("")
+    watched = Watched(str(path), taken.append)
+    path.write_text(Yard(tmp_path, core=1, others=0, servers=1, nth=8).settings(0, first=True).read_text())
+    with monkeypatch.context() as patch:
+        if where == "taken":
+            patch.setattr(watched, "take", fail)
+            with pytest.raises(Unforeseen):
+                watched.look()
+        else:
+            patch.setattr(Path, "read_text", out_of_descriptors)
+            watched.look()
+    assert not taken
+    watched.look()
+    watched.look()
+    assert len(taken) == 1
+
+
+def out_of_descriptors(*_: object) -> str:
+    raise OSError(errno.EMFILE, "too many open files")
+
+
+def test_settings_that_are_no_text_are_refused_once(tmp_path: Path) -> None:
+    path = tmp_path / "settings"
+    path.write_text("")
+    watched = Watched(str(path), fail)
+    path.write_bytes(b"thisDoor.nodeName=\xff\n")
+    watched.look()
+    assert watched.seen == watched.stamp()
+
+
+def test_a_door_that_cannot_give_up_its_duties_still_answers_what_it_holds(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play(door: Door) -> None:
+        monkeypatch.setattr("hive.door.LINGER", 0.01)
+        monkeypatch.setattr(door.core, "drain", fail)
+        await door.drain()
+        assert door.front.stopping and door.supervisor.failures["give duties up"] == 1
+
+    with_door(tmp_path, play)
+
+
+def test_a_socket_for_datagrams_is_opened_anew_after_an_error_of_a_new_kind(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play(door: Door) -> None:
+        assert door.mesh.transport is not None
+        with monkeypatch.context() as patch:
+            patch.setattr(door.mesh, "open_socket", fail)
+            door.mesh.transport.abort()
+            await until(lambda: door.supervisor.failures["open a socket"])
+        await until(lambda: door.mesh.transport is not None)
+
+    with_door(tmp_path, play)
+
+
 def test_an_error_in_a_callback_of_the_loop_is_counted(tmp_path: Path) -> None:
     async def play(door: Door) -> None:
         door.loop.call_soon(fail)
