--- a/hive/node_metrics.py
+++ b/hive/node_metrics.py
@@ -23,12 +23,11 @@
     labels: tuple[tuple[str, str], ...] = ()
 
     def line(self) -> str:
+        """The sample as the format has it; whole numbers with all their digits, as counts and versions are compared."""
         labels = ",".join(f'{name}="{escape(value)}"' for name, value in self.labels)
-        return (
-            f"{PREFIX}{self.name}{{{labels}}} {self.value:g}"
-            if labels
-            else f"{PREFIX}{self.name} {self.value:g}"
-        )
+        labelled = f"{{{labels}}}" if labels else ""
+        value = f"{self.value:g}" if isinstance(self.value, float) else str(int(self.value))
+        return f"{PREFIX}{self.name}{labelled} {value}"
 
 
 def escape(value: str) -> str:
