--- a/tests/test_list_duty.py
+++ b/tests/test_list_duty.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hazelspring.registry.list_duty import LIST, READ_TIMEOUT, ListDuty
-from queenless.core import Core
+from queenless.core import Core, Start
 from queenless.deeds import Deed, Poll
 from queenless.invariants import LIST_KNOWN, LIST_READ
 
@@ -17,9 +17,10 @@
 
 
 class ListWorld(World):
-    """Reads of the list at some doors never end, or fail."""
+    """Reads of the list at some doors never end, or fail; `cutoff` is `drainCutoffMs` of the settings in seconds."""
 
-    def __init__(self, core: int, others: int, seed: int = 1) -> None:
+    def __init__(self, core: int, others: int, seed: int = 1, cutoff: float = DRAIN_CUTOFF) -> None:
+        self.cutoff = cutoff
         self.stuck: set[str] = set()  # their reads end without a word, as a task does that failed
         self.cut_off: set[str] = set()  # the platform does not answer them: each read fails after a time
         self.reads: list[str] = []
@@ -42,6 +43,10 @@
 
         self.unless_frozen(name, core, failed)
 
+    def make(self, start: Start) -> Core:
+        start.bounds = replace(start.bounds, drain_cutoff=self.cutoff)
+        return super().make(start)
+
     def reader(self) -> str:
         (found,) = [name for name in self.up() if self.holds(name, LIST)]
         return found
@@ -75,6 +80,18 @@
         assert world.unaware() == [] and not world.breaches
 
 
+@pytest.mark.parametrize("cutoff", [2.0, 2.5, 3.0, 5.0])
+def test_where_the_reader_gets_no_read_all_know_in_four_fifths_of_the_time(cutoff: float) -> None:
+    """What is left is a lost message's, and the way of a request that was under way."""
+    for seed in range(8):
+        world = ListWorld(4, 3, seed, cutoff)
+        world.run(8.0 + seed / 16)  # at any moment between two reads
+        world.stuck = {world.reader()}
+        world.drain()
+        world.run(0.8 * cutoff)
+        assert world.unaware() == [] and not world.breaches
+
+
 def test_a_holder_that_the_platform_does_not_answer_hands_the_reading_to_another_door() -> None:
     for seed in range(5):
         world = ListWorld(4, 3, seed)
