Let the times for reads of the list follow from drainCutoffMs

Cause: half a second between reads, a second and a half for one and two until a holder without a read declines fitted a bound of 3 s. Deployments have 2.5 to 5 s; below 3 the rest does not cover one lost message, and below 2.2 not even the handing on. Change: ListTiming.within: a sixth of the bound between reads, half of it for one read, never more than before, never less than round trips need. The client of the list and the invariant take them from there. Ruled out: longer times where the bound is longer (a slower hand over, for a platform that takes over 1.5 s).

--- a/hazelspring/registry/list_duty.py
+++ b/hazelspring/registry/list_duty.py
@@ -6,23 +6,54 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from swarm.duties import Duties
 
 LIST = 0  # the number of this duty
-READ_INTERVAL = 0.5  # seconds between the beginnings of two reads
-# seconds for one read: half of the shortest time in which nodes must hear of a server's end
-READ_TIMEOUT = 1.5
-READ_DEADLINE = READ_TIMEOUT + 0.25  # seconds after which a read whose end was not heard is given up
-# seconds without a read after which one has failed: a slow platform takes less
-OVERDUE = READ_INTERVAL + READ_TIMEOUT
+MAX_INTERVAL = (
+    0.5  # seconds; more reads cost calls to the platform, and the list lags by more than this anyway
+)
+MAX_TIMEOUT = 1.5  # seconds; a platform that takes longer is as one that doesn't answer
+MIN_INTERVAL = 0.1  # seconds; about a round trip between regions with a new connection,
+MIN_TIMEOUT = 0.3  # and three: no cutoff makes reads fail that would end well
+UNHEARD = 0.25  # seconds after its timeout at which a read whose end was not heard is given up
 NEVER = -1e9
 
 
+@dataclass(slots=True, frozen=True)
+class ListTiming:
+    """Seconds between the beginnings of two reads, and for one read."""
+
+    interval: float = MAX_INTERVAL
+    timeout: float = MAX_TIMEOUT
+
+    @classmethod
+    def within(cls, cutoff: float) -> ListTiming:
+        """Times by which all nodes know of a server's end in `cutoff` seconds, also where the reader fails just then.
+
+        A sixth goes by until a read is due, half until it has failed; the last third is for another node to take the
+        duty and read, and for a message that is lost.
+        """
+        interval = max(MIN_INTERVAL, min(MAX_INTERVAL, cutoff / 6))
+        return cls(interval, max(MIN_TIMEOUT, min(MAX_TIMEOUT, cutoff / 2)))
+
+    @property
+    def deadline(self) -> float:
+        """Seconds after which a read is given up, whether its end was heard or not."""
+        return self.timeout + UNHEARD
+
+    @property
+    def overdue(self) -> float:
+        """Seconds without a read after which one has failed."""
+        return self.interval + self.timeout
+
+
 class ListDuty:
     """When this node reads the list, and when it leaves that to another."""
 
-    def __init__(self, duties: Duties) -> None:
-        self.duties = duties
+    def __init__(self, duties: Duties, timing: ListTiming) -> None:
+        self.duties, self.timing = duties, timing
         self.number = 0  # of the read that was begun last
         self.began_at = NEVER
         self.under_way = False
@@ -35,9 +66,9 @@
 
     def begin(self, now: float) -> int | None:
         """The number of a read that is to begin now; None where none is due."""
-        if self.under_way and now - self.began_at < READ_DEADLINE:
+        if self.under_way and now - self.began_at < self.timing.deadline:
             return None
-        if now - self.began_at < READ_INTERVAL:
+        if now - self.began_at < self.timing.interval:
             return None
         self.number += 1
         self.began_at, self.under_way = now, True
@@ -54,7 +85,7 @@
 
     def must_decline(self, now: float) -> bool:
         """Whether this node holds the duty, has read nothing for too long, and another node may do better."""
-        return self.without_read(now) > OVERDUE and self.duties.others_willing(now, LIST)
+        return self.without_read(now) > self.timing.overdue and self.duties.others_willing(now, LIST)
 
     def without_read(self, now: float) -> float:
         """Seconds for which this node has held the duty and read nothing; 0 where it does not hold it."""
--- a/hive/door.py
+++ b/hive/door.py
@@ -17,6 +17,7 @@
 from comb.word import Word
 from forage.fleet import Fleet
 from forage.gate import Forager, Tick
+from hazelspring.registry.list_duty import ListTiming
 from hive.desk import Desk
 from hive.front import Carrier, Front
 from hive.list_reader import ListReader
@@ -71,7 +72,8 @@
         self.reported_at = 0.0
         self.core_ticked = self.fresh_at = -1e9
         self.supervisor = Supervisor(self.loop)
-        self.list_reader = ListReader(settings.platform, settings.platform_rate)
+        timing = ListTiming.within(settings.invariants.drain_cutoff)
+        self.list_reader = ListReader(settings.platform, settings.platform_rate, timing.timeout)
         most = settings.descriptors - OTHER_FILES
         fleet = Fleet(settings.zone, settings.region, settings.zones, random.Random(self.life))
         self.forager = Forager(settings.rule, fleet, self.life)
--- a/hive/instance_list.py
+++ b/hive/instance_list.py
@@ -10,10 +10,9 @@
 
 import httptools
 
-from hazelspring.registry.list_duty import READ_TIMEOUT
 from ivymux.config import Address
 
-MAX_PAUSE = READ_TIMEOUT / 4  # seconds between two tries of a page, however few calls the platform accepts
+PAUSE_PART = 0.25  # of the time for a read: the longest pause between two tries of a page, whatever the rate
 MAX_PAGES = 64
 MAX_PAGE_BYTES = 4 << 20
 READ_SIZE = 1 << 16
@@ -71,21 +70,27 @@
     """Keeps one connection while it serves.
 
     The platform accepts `rate` calls a second from all nodes together: a page refused for that (429) is asked for
-    again after the time that one call takes of the rate, doubled with each refusal.
+    again after the time that one call takes of the rate, doubled with each refusal.  A read of all pages has `timeout`
+    seconds.
     """
 
     def __init__(
-        self, address: Address, rate: float, pause: Callable[[float], Awaitable[None]] = asyncio.sleep
+        self,
+        address: Address,
+        rate: float,
+        timeout: float,
+        pause: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
         self.address = address
         self.rate = rate
+        self.timeout = timeout
         self.pause = pause
         self.streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
     async def read_pages(self) -> list[bytes]:
         """Every page of the list.  Raises InstanceListError."""
         try:
-            async with asyncio.timeout(READ_TIMEOUT):
+            async with asyncio.timeout(self.timeout):
                 return await self._walk()
         except Exception as error:
             self.close()  # whatever a transport or parser raised, the read has failed and its connection goes
@@ -100,9 +105,9 @@
                 pages.append(await self._page(path))
                 refusals = 0
             except StatusError as error:
-                if error.status != HTTP_TOO_MANY_REQUESTS or waited >= READ_TIMEOUT:
+                if error.status != HTTP_TOO_MANY_REQUESTS or waited >= self.timeout:
                     raise
-                pause = min(self._backoff(refusals), READ_TIMEOUT - waited)
+                pause = min(self._backoff(refusals), self.timeout - waited)
                 waited, refusals = waited + pause, refusals + 1
                 await self.pause(pause)
                 continue
@@ -117,7 +122,7 @@
 
     def _backoff(self, refusals: int) -> float:
         """Seconds until a page is asked for again; jittered, so that nodes refused together do not return together."""
-        return min(MAX_PAUSE, (1 << refusals) / self.rate) * (0.5 + random.random())
+        return min(PAUSE_PART * self.timeout, (1 << refusals) / self.rate) * (0.5 + random.random())
 
     async def _page(self, path: str) -> bytes:
         """One page; on a new connection where the kept one brought no answer, as it may have been closed meanwhile."""
@@ -134,6 +139,6 @@
 
     def close(self) -> None:
         """End the kept connection, if there is one."""
-        if self.streams is not None:
-            self.streams[1].transport.abort()
-            self.streams = None
+        streams, self.streams = self.streams, None
+        if streams is not None:
+            streams[1].transport.abort()
--- a/hive/list_reader.py
+++ b/hive/list_reader.py
@@ -18,9 +18,11 @@
 class ListReader:
     """One read at a time; the node asks for each.  One that is asked for while another runs takes its place."""
 
-    def __init__(self, address: Address, rate: float) -> None:
+    def __init__(self, address: Address, rate: float, timeout: float) -> None:
+        """`timeout`: seconds for one read."""
         self.loop = asyncio.get_running_loop()
-        self.client = InstanceListClient(address, rate)
+        self.timeout = timeout
+        self.client = InstanceListClient(address, rate, timeout)
         self.reading: InstanceListClient | None = None  # whose read is under way
         self.reads = 0
         self.failures = 0
@@ -36,7 +38,7 @@
     def replace_client(self, address: Address, rate: float) -> None:
         """Read over a new connection from now on; what is under way on the old one fails."""
         self.client.close()
-        self.client = InstanceListClient(address, rate)
+        self.client = InstanceListClient(address, rate, self.timeout)
 
     async def read(self) -> ServersByService | None:
         """The servers of each service; None where the list could not be read, for whatever reason."""
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -13,7 +13,7 @@
 from comb.change import Checked
 from comb.state import Member, lineage
 from comb.word import digest, number_of
-from hazelspring.registry.list_duty import LIST, ListDuty
+from hazelspring.registry.list_duty import LIST, ListDuty, ListTiming
 from hazelspring.registry.list_freshness import ListFreshness
 from hazelspring.registry.tables import ServerEntry
 from nectar.counter import Counter
@@ -65,7 +65,7 @@
         self.freshness = ListFreshness(now)
         self.beats = Beats(self.peers, self.control, self.duties, self.registry, self.freshness, now)
         self.ready = False
-        self.list_duty = ListDuty(self.duties)
+        self.list_duty = ListDuty(self.duties, ListTiming.within(start.bounds.drain_cutoff))
         self.invariants = Invariants(
             now, start.bounds, self.peers, self.beats, self.list_duty, self.freshness
         )
--- a/queenless/invariants.py
+++ b/queenless/invariants.py
@@ -4,9 +4,8 @@
 - `list_known`: all that the platform's list showed `drain_cutoff` and a little before is known here.
 
 A node is in touch once every member of the core has answered it for `in_touch` seconds, in one life and from the disk
-that holds its seat: a member that ends
-may have been the list's reader, and its lease has to end first.  Where the platform answers nobody, `list_known` is
-violated too, as requests then go by a list that is too old.
+that holds its seat: a member that ends may have been the list's reader, and its lease has to end first.  Where the
+platform answers nobody, `list_known` is violated too, as requests then go by a list that is too old.
 """
 
 from __future__ import annotations
@@ -14,7 +13,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from hazelspring.registry.list_duty import LIST, OVERDUE, ListDuty
+from hazelspring.registry.list_duty import LIST, ListDuty
 from hazelspring.registry.list_freshness import ListFreshness
 from queenless.beats import NEAR_BEAT, Beats
 from queenless.deeds import Violated
@@ -84,7 +83,7 @@
         return peer.about.life if peer is not None else self.peers.core[ip].life
 
     def _list_is_read(self, now: float) -> bool:
-        overdue = self.list_duty.without_read(now) > OVERDUE + HANDING_ON
+        overdue = self.list_duty.without_read(now) > self.list_duty.timing.overdue + HANDING_ON
         return not overdue or not self.list_duty.duties.others_willing(now, LIST)
 
     def _list_is_known(self, now: float) -> bool:
--- a/tests/test_instance_list.py
+++ b/tests/test_instance_list.py
@@ -11,13 +11,13 @@
 import pytest
 
 from hazelspring.registry.instance_list import parse_instance_list
-from hazelspring.registry.list_duty import READ_TIMEOUT
-from hive.instance_list import MAX_PAUSE, InstanceListClient, InstanceListError
+from hive.instance_list import PAUSE_PART, InstanceListClient, InstanceListError
 from hive.list_reader import ListReader
 from ivymux.config import parse_address
 
 from .sockets import listening, run, until
 
+READ_TIMEOUT = 1.5  # seconds, as a node has it with a cutoff of three
 ENTRY = {"service": "s", "address": "x:1", "zone": "a1", "serverState": "accepting"}
 PAGES = {"/instances": ("i-1", "p 2"), "/instances?pageToken=p%202": ("i-2", None)}
 
@@ -60,7 +60,7 @@
 
     async def read(self, rate: float, times: int = 1) -> list[bytes]:
         async with listening(self.serve) as address:
-            platform = InstanceListClient(parse_address(address), rate, self.pause)
+            platform = InstanceListClient(parse_address(address), rate, READ_TIMEOUT, self.pause)
             try:
                 for _ in range(times):
                     found = await platform.read_pages()
@@ -88,7 +88,10 @@
         listing = Listing(10**6)
         with pytest.raises(InstanceListError, match="429"):
             await listing.read(rate)
-        assert sum(listing.paused) == pytest.approx(READ_TIMEOUT) and max(listing.paused) <= 1.5 * MAX_PAUSE
+        assert (
+            sum(listing.paused) == pytest.approx(READ_TIMEOUT)
+            and max(listing.paused) <= 1.5 * PAUSE_PART * READ_TIMEOUT
+        )
         assert 3 <= listing.asked["/instances"] <= 14
 
     run(play())
@@ -111,7 +114,7 @@
     async def play() -> None:
         listing = Listing(0)
         async with listening(listing.serve) as address:
-            client = InstanceListClient(parse_address(address), 10.0, listing.pause)
+            client = InstanceListClient(parse_address(address), 10.0, READ_TIMEOUT, listing.pause)
             await client.read_pages()
             listing.reset()
             assert client.streams is not None
@@ -129,7 +132,7 @@
     async def play() -> None:
         listing = Listing(0)
         async with listening(listing.serve) as address:
-            reader = ListReader(parse_address(address), 10.0)
+            reader = ListReader(parse_address(address), 10.0, READ_TIMEOUT)
             assert await reader.read() is not None
             for name in ("_page", "read_pages"):
                 with monkeypatch.context() as patch:
@@ -156,7 +159,7 @@
             await listing.serve(reader, writer)
 
         async with listening(serve) as address:
-            reader = ListReader(parse_address(address), 10.0)
+            reader = ListReader(parse_address(address), 10.0, READ_TIMEOUT)
             hangs = asyncio.create_task(reader.read())
             await until(lambda: silent)
             assert await reader.read() is not None
@@ -184,7 +187,7 @@
 def test_a_malformed_entry_is_passed_over_and_keeps_no_other_server_from_being_known() -> None:
     async def play() -> None:
         async with listening(Listing(0, more=MALFORMED).serve) as address:
-            reader = ListReader(parse_address(address), 10.0)
+            reader = ListReader(parse_address(address), 10.0, READ_TIMEOUT)
             found = await reader.read()
             assert found is not None and found.keys() == {"s"}
             assert found["s"].keys() == {"i-1", "i-2"}
--- a/tests/test_list_duty.py
+++ b/tests/test_list_duty.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import partial
 
 import pytest
 
-from hazelspring.registry.list_duty import LIST, READ_TIMEOUT, ListDuty
+from hazelspring.registry.list_duty import LIST, MAX_TIMEOUT, ListDuty, ListTiming
 from queenless.core import Core, Start
 from queenless.deeds import Deed, Poll
 from queenless.invariants import LIST_KNOWN, LIST_READ
@@ -34,7 +35,7 @@
         if name in self.stuck | self.cut_off:
             deeds = [deed for deed in deeds if not isinstance(deed, Poll)]
         for poll in polls if name in self.cut_off else ():
-            self.at(self.now + READ_TIMEOUT, lambda number=poll.number: self.fail(name, core, number))  # type: ignore[misc]
+            self.at(self.now + core.list_duty.timing.timeout, partial(self.fail, name, core, poll.number))
         super().deeds(name, deeds)
 
     def fail(self, name: str, core: Core, number: int) -> None:
@@ -143,7 +144,7 @@
         assert set(world.reads) == world.cut_off and len(world.reads) >= 8
         world.drain()
         world.cut_off = set()
-        world.run(DRAIN_CUTOFF + READ_TIMEOUT)  # what is under way when the platform is back fails still
+        world.run(DRAIN_CUTOFF + MAX_TIMEOUT)  # what is under way when the platform is back fails still
         assert world.unaware() == [] and violated(world) == {LIST_KNOWN}  # as nobody could read it
         world.breaches.clear()
         world.run(20.0)
@@ -188,3 +189,13 @@
 def violated(world: World) -> set[str]:
     """The invariants that have been violated at any door."""
     return {name for core in cores(world) for name, count in core.invariants.violations.items() if count}
+
+
+@pytest.mark.parametrize(
+    ("cutoff", "interval", "timeout"), [(0.0, 0.1, 0.3), (2.4, 0.4, 1.2), (3.0, 0.5, 1.5), (60.0, 0.5, 1.5)]
+)
+def test_times_of_reads_follow_from_the_cutoff_within_bounds(
+    cutoff: float, interval: float, timeout: float
+) -> None:
+    timing = ListTiming.within(cutoff)
+    assert (timing.interval, timing.timeout) == pytest.approx((interval, timeout))
