--- a/ivymux/metrics.py
+++ b/ivymux/metrics.py
@@ -43,9 +43,8 @@
         self.lists: Tally = defaultdict(int)
         self.watches: defaultdict[int, int] = defaultdict(int)  # that ended, by their answer's status
         self.log_dropped = 0
-        self.failures: Counter[str] = (
-            Counter()
-        )  # activities that an error nobody foresaw has cut short, by name
+        # activities that an error nobody foresaw has cut short, by name
+        self.failures: Counter[str] = Counter()
         self.lags = [0] * (len(LAGS) + 1)
         self.lag_sum = self.lag_most = 0.0
 
--- a/queenless/core.py
+++ b/queenless/core.py
@@ -69,9 +69,8 @@
         self.invariants = Invariants(
             now, start.bounds, self.peers, self.beats, self.list_duty, self.freshness
         )
-        self.level: dict[
-            str, tuple[dict[str, int], dict[str, int]]
-        ] = {}  # what each told, and was known, of news
+        # of each member, the versions of tables that it told and those known here when none of its was newer
+        self.level: dict[str, tuple[dict[str, int], dict[str, int]]] = {}
         self.asked: dict[str, tuple[float, int]] = {}  # what was asked for, when, and how often
         self.was_seated = self.control.seated()
         self.members = self.control.state.members if self.control.state is not None else ()
--- a/swarm/duties.py
+++ b/swarm/duties.py
@@ -10,9 +10,8 @@
 from swarm.rendezvous import owner
 
 SHORT = 0.9  # part of it that a holder relies on, as steady clocks may differ in speed,
-DECLINED = (
-    10.0  # seconds for which a door leaves a duty that it could not do to others: ten times what a try takes
-)
+# seconds for which a node leaves a duty that it could not do to others: some ten times what a try takes
+DECLINED = 10.0
 MARGIN = 0.1  # and seconds less, for what lies between a look at the clock and the deed
 
 Who = tuple[str, int]  # address and life
@@ -110,9 +109,8 @@
         # when a new life was told what is counted on, and which life
         self.disowned: dict[str, tuple[float, int]] = {}
         self.asking: list[int] = []  # what the last beat asked for
-        self.declined: dict[
-            int, float
-        ] = {}  # duties that this door could not do, and until when others are to
+        # duties that this node could not do, and until when others are to
+        self.declined: dict[int, float] = {}
         self.left = False
 
     def me(self) -> Who:
--- a/swarm/peers.py
+++ b/swarm/peers.py
@@ -76,9 +76,8 @@
         self.look_at = -1e9  # and before when none can have been silent for too long
         self.directory = Roster()  # as last heard or made
         self.made = False  # it was made here, of all rows but those that were touched since
-        self.most_doors = (
-            0  # ever in a roster, here or at a door that told: what doors share evenly goes by it
-        )
+        # ever in a roster, here or at a node that told: what nodes share evenly goes by it
+        self.most_doors = 0
 
     def peer(self, about: About) -> Peer:
         found = self.peers.get(about.ip)
--- a/swarm/roster.py
+++ b/swarm/roster.py
@@ -44,9 +44,8 @@
         self.rows: list[Row] = []
         self.sum = 0
         self.changes: deque[tuple[int, list[str]]] = deque()  # the sum before each, and whose rows it changed
-        self.told: dict[
-            int, Change | None
-        ] = {}  # what changed since a sum, as worked out since the last change
+        # what changed since a sum, as worked out since the last change
+        self.told: dict[int, Change | None] = {}
 
     def take(self, rows: list[Row]) -> None:
         """The whole, as another door told it; what changed before is forgotten.  Only rows that differ are summed,
