Give the door's disk to a module of its own, and drop it from the door

Need: hive/door.py held the thread of the disk, three kinds of errors and what is said of them, beside all else. Change: hive/disk_worker.py loads and saves on its thread and tells each end as a value; no behaviour changes.

--- /dev/null
+++ b/hive/disk_worker.py
@@ -0,0 +1,56 @@
+"""A node's store, driven by a thread of its own, so that the event loop never waits for the disk."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
+
+from comb.store import Store, StoreError
+from hive.log import log
+from hive.supervisor import Supervisor
+
+
+class DiskWorker:
+    """Loads and saves records one after another; how each ends is told as a value, whatever error ended it."""
+
+    def __init__(self, folder: str, supervisor: Supervisor) -> None:
+        self.store = Store(folder)
+        self.supervisor = supervisor
+        self.loop = asyncio.get_running_loop()
+        self.thread = ThreadPoolExecutor(1, thread_name_prefix="comb")
+
+    async def load(self) -> dict[str, bytes] | None:
+        """What the disk holds; None where it does not say: it is not taken for an empty one then."""
+        try:
+            records = await self.loop.run_in_executor(self.thread, self.store.load)
+        except StoreError as error:
+            log.say("comb", "cannot read the disk, goes on without it", error=error)
+            return None
+        except Exception as error:  # who awaits the disk tries again
+            self.supervisor.failed("read the disk", error)
+            return None
+        while self.store.aside:
+            log.say("comb", "put aside what could not be read", what=self.store.aside.pop())
+        return records
+
+    async def save(self, records: Mapping[str, bytes | None]) -> bool:
+        """Put records on disk, all or none, None for one that is to go; whether they are there."""
+        try:
+            await self.loop.run_in_executor(self.thread, self.store.save, records)
+        except StoreError as error:
+            log.say("comb", "could not save", records=",".join(records), error=error)
+        except Exception as error:  # the core waits for every save to end
+            self.supervisor.failed("save", error)
+        else:
+            return True
+        return False
+
+    def discard(self, why: str) -> None:
+        """Put aside what is on disk, as it makes no sense."""
+        log.say("comb", "put aside what could not be read", what=why)
+        self.store.discard(why)
+
+    def close(self) -> None:
+        """Begin no further load or save; one that is under way is not waited for."""
+        self.thread.shutdown(wait=False, cancel_futures=True)
--- a/hive/door.py
+++ b/hive/door.py
@@ -7,18 +7,17 @@
 import secrets
 import time
 from collections import Counter
-from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 import cbor2
 
 from comb.change import Held, take
-from comb.store import Store, StoreError
 from comb.word import Word
 from forage.fleet import Fleet
 from forage.gate import Forager, Tick
 from hazelspring.registry.list_duty import ListTiming
 from hive.desk import Desk
+from hive.disk_worker import DiskWorker
 from hive.front import Carrier, Front
 from hive.list_reader import ListReader
 from hive.log import log
@@ -62,8 +61,8 @@
         self.loop = asyncio.get_running_loop()
         self.counts = Counts()
         self.life = (int(time.time() * 1000) << 8) + secrets.randbits(8)  # the later life is the larger
-        self.store = Store(settings.folder) if settings.folder else None
-        self.disk = ThreadPoolExecutor(1, thread_name_prefix="comb") if self.store is not None else None
+        self.supervisor = Supervisor(self.loop)
+        self.disk = DiskWorker(settings.folder, self.supervisor) if settings.folder else None
         self.word: Word | None = None
         self.held: Held | None = None  # the same, with what it was read from
         self.calls = OperatorCalls(self.loop.time, lambda: self.core, lambda: self.held, self.carry_out)
@@ -71,7 +70,6 @@
         self.reported: Counter[str] = Counter()
         self.reported_at = 0.0
         self.core_ticked = self.fresh_at = -1e9
-        self.supervisor = Supervisor(self.loop)
         timing = ListTiming.within(settings.invariants.drain_cutoff)
         self.list_reader = ListReader(settings.platform, settings.platform_rate, timing.timeout)
         most = settings.descriptors - OTHER_FILES
@@ -128,20 +126,8 @@
             self.desks.append(self.metrics_desk)
 
     async def read_disk(self) -> dict[str, bytes] | None:
-        """What the disk holds; None where it does not say.  It is not taken for an empty one then."""
-        if self.store is None:
-            return {}
-        try:
-            records = await self.loop.run_in_executor(self.disk, self.store.load)
-        except StoreError as error:
-            log.say("comb", "cannot read the disk, goes on without it", error=error)
-            return None
-        except Exception as error:  # who awaits the disk tries again
-            self.supervisor.failed("read the disk", error)
-            return None
-        while self.store.aside:
-            log.say("comb", "put aside what could not be read", what=self.store.aside.pop())
-        return records
+        """What the disk holds, nothing where there is none; None where it does not say."""
+        return await self.disk.load() if self.disk is not None else {}
 
     async def await_disk(self) -> None:
         """Take the disk up once it can be read, as a new life of this door: what this one promised was on no disk."""
@@ -159,15 +145,14 @@
     def make_core(self, records: dict[str, bytes] | None, first: bool) -> Core:
         """The core on what the disk held; on an empty disk where that makes no sense, as what it promised is lost."""
         settings = self.settings
-        disk = self.life if self.store is not None and records is not None else 0
+        disk = self.life if self.disk is not None and records is not None else 0
         about = About(settings.ip, settings.zone, settings.region, disk, self.life)
         start = Start(about, list(settings.seeds), first, records or {}, settings.link, settings.invariants)
         try:
             return Core(self.loop.time(), start, settings.rule.quota.window, self.limit_of)
         except (ValueError, cbor2.CBORDecodeError) as error:
-            assert self.store is not None
-            log.say("comb", "put aside what could not be read", what=error)
-            self.store.discard(str(error))
+            assert self.disk is not None
+            self.disk.discard(str(error))
             return self.make_core({}, False)
 
     def limit_of(self, tenant: str) -> float:
@@ -189,7 +174,7 @@
 
     def calm(self) -> float:
         """Seconds between looks at the core."""
-        return CALM if self.core.ready and self.store is None else TICK  # else duties or a start wait for it
+        return CALM if self.core.ready and self.disk is None else TICK  # else duties or a start wait for it
 
     def until_tick(self) -> float:
         """Seconds until the next tick."""
@@ -278,15 +263,9 @@
     # --- the operator's word -----------------------------------------------------------------------------------
 
     async def save(self, save: Save) -> None:
-        assert self.store is not None and self.disk is not None
-        core, good = self.core, False
-        try:
-            await self.loop.run_in_executor(self.disk, self.store.save, save.records)
-            good = True
-        except StoreError as error:
-            log.say("comb", "could not save", records=",".join(save.records), error=error)
-        except Exception as error:  # the core waits for every save to end
-            self.supervisor.failed("save", error)
+        assert self.disk is not None
+        core = self.core
+        good = await self.disk.save(save.records)
         if core is self.core:
             self.carry_out(core.saved(self.loop.time(), save.serial, good))
 
@@ -403,5 +382,5 @@
         self.list_reader.close()
         self.servers.close()
         self.supervisor.close()
-        if self.store is not None and self.disk is not None:
-            self.disk.shutdown(wait=False, cancel_futures=True)
+        if self.disk is not None:
+            self.disk.close()
--- a/tests/test_unforeseen_errors.py
+++ b/tests/test_unforeseen_errors.py
@@ -13,6 +13,7 @@
 
 from apiary.stands import Stands
 from apiary.yard import Yard, configuration
+from comb.store import Store
 from hive.__main__ import Watched
 from hive.door import Door
 from hive.settings import Settings, load
@@ -183,6 +184,11 @@
     run(test())
 
 
+def store_of(door: Door) -> Store:
+    assert door.disk is not None
+    return door.disk.store
+
+
 def test_a_door_goes_on_ticking_whatever_fails_in_a_tick(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -222,7 +228,7 @@
     async def play(door: Door) -> None:
         ends = list[bool]()
         with monkeypatch.context() as patch:
-            patch.setattr(door.store, "save", fail)
+            patch.setattr(store_of(door), "save", fail)
             door.calls.put(configuration(3), lambda settled: ends.append(settled.good))
             await until(lambda: door.supervisor.failures["save"] > 1)
             assert not ends
@@ -249,9 +255,8 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def play(door: Door) -> None:
-        assert door.store is not None
         with monkeypatch.context() as patch:
-            patch.setattr(door.store, "load", fail)
+            patch.setattr(store_of(door), "load", fail)
             assert await door.read_disk() is None
         assert await door.read_disk()
 
