Make classes of the messages on tables and on duties that are given up

Change: queenless/messages.py has TableRequest, TableNews, DutiesDeclined and DutiesFreed; the maps that go out keep their fields, as nodes of two versions of the program talk to each other. Core.heard hands each to a method. No behaviour changes.

--- a/queenless/core.py
+++ b/queenless/core.py
@@ -21,8 +21,9 @@
 from queenless.beats import FAR_BEAT, NEAR_BEAT, Beats
 from queenless.control import ASK_AGAIN, Control
 from queenless.deeds import AGREEMENT, Danced, Deed, Message, Poll, Send
-from queenless.dissemination import Disseminator, ask_for
+from queenless.dissemination import Disseminator
 from queenless.invariants import InvariantBounds, Invariants
+from queenless.messages import DutiesDeclined, DutiesFreed, TableNews, TableRequest
 from queenless.order import Order
 from queenless.teller import LEASE
 from swarm.duties import Duties, Who
@@ -192,7 +193,7 @@
         if not self.may_ask(now, f"news {service}"):
             return
         has = self.peers.others_where(lambda peer: peer.table_versions.get(service, 0) >= version)
-        self.ask_one(now, f"news {service}", has, ask_for(service))
+        self.ask_one(now, f"news {service}", has, TableRequest(service).encode())
 
     def may_ask(self, now: float, what: str) -> bool:
         """Whether what was asked for last has had its time."""
@@ -225,7 +226,7 @@
     def decline(self, now: float, duty: int) -> None:
         """Leave a duty that this door can't do to another one, at once."""
         self.duties.decline(now, duty)
-        message = {"k": "decline", "a": self.me.row(), "d": [duty]}
+        message = DutiesDeclined(self.me, [duty]).encode()
         self.deeds += [Send(ip, message) for ip in self.peers.others()]
 
     def may_list(self, now: float) -> bool:
@@ -236,7 +237,7 @@
         """This door leaves in order: its duties go to others at once."""
         self.deeds = []
         self.control.members.leaving = True
-        message = {"k": "free", "a": self.me.row(), "d": self.duties.leave(now)}
+        message = DutiesFreed(self.me, self.duties.leave(now)).encode()
         self.deeds += [Send(ip, message) for ip in self.peers.others()]
         return self.deeds
 
@@ -296,20 +297,16 @@
                 self.on_beat(now, source, message)
             case "echo":
                 self.on_echo(now, source, message)
-            case "ask":
-                if message["s"] in self.registry.tables:
-                    self.deeds.append(
-                        Send(source, {"k": "news", "n": self.registry.encode(now, message["s"])})
-                    )
-            case "news":
-                self.deeds += self.disseminator.apply(now, message["n"])
-                self.asked.pop(f"news {message['n'][0]}", None)
-            case "decline":
-                about = About(*message["a"])
-                self.duties.declined_by((about.ip, about.life), message["d"])
-            case "free":
-                about = About(*message["a"])
-                self.duties.freed((about.ip, about.life), message["d"])
+            case TableRequest.KIND:
+                self.on_table_request(now, source, TableRequest.decode(message))
+            case TableNews.KIND:
+                self.on_table_news(now, TableNews.decode(message))
+            case DutiesDeclined.KIND:
+                declined = DutiesDeclined.decode(message)
+                self.duties.declined_by(declined.member.who(), declined.duties)
+            case DutiesFreed.KIND:
+                freed = DutiesFreed.decode(message)
+                self.duties.freed(freed.member.who(), freed.duties)
             case "dance":
                 return [Danced(source, message["o"])]
             case "lease":
@@ -331,6 +328,15 @@
         """Count a message that counts for nothing."""
         self.dropped[kind] = self.dropped.get(kind, 0) + 1
 
+    def on_table_request(self, now: float, source: str, request: TableRequest) -> None:
+        if request.service in self.registry.tables:
+            news = TableNews(self.registry.encode(now, request.service))
+            self.deeds.append(Send(source, news.encode()))
+
+    def on_table_news(self, now: float, news: TableNews) -> None:
+        self.deeds += self.disseminator.apply(now, news)
+        self.asked.pop(f"news {news.service}", None)
+
     def on_beat(self, now: float, source: str, message: Message) -> None:
         about = self.beats.who(source, message)
         if about is not None:
--- a/queenless/dissemination.py
+++ b/queenless/dissemination.py
@@ -4,19 +4,14 @@
 
 import math
 from collections.abc import Mapping
-from typing import Any
 
 from hazelspring.registry.tables import ServerEntry, ServerRegistry, home_node
 from queenless.deeds import Changed, Deed, Message, Send
+from queenless.messages import TableNews, TableRequest
 from queenless.teller import Outs, Teller, budget
 from swarm.peers import Peers
 
 
-def ask_for(service: str) -> Message:
-    """The message that asks another node for its table of a service."""
-    return {"k": "ask", "s": service}
-
-
 class Disseminator:
     """Tells other nodes of changed tables, and of where this node's requests are."""
 
@@ -30,7 +25,7 @@
         me = self.peers.me.ip
         for service in self.registry.update_from_list(now, wall_ms, found):
             deeds.append(Changed(f"service:{service}"))
-            message = {"k": "news", "n": self.registry.encode_change(now, service)}
+            message = TableNews(self.registry.encode_change(now, service)).encode()
             zones = sorted({row[1] for row in self.peers.roster})
             homes = {home_node(service, zone, self.peers.doors(zone=zone)) for zone in zones}
             for ip in sorted({*self.peers.others(), *(h for h in homes if h is not None)} - {me}):
@@ -38,13 +33,13 @@
             deeds += self.tell_zone(service, message)
         return deeds
 
-    def apply(self, now: float, encoded: list[Any]) -> list[Deed]:
-        """A table, or a change of one, that another node told; where it can't be applied, the table is asked for."""
-        service, version = encoded[:2]
-        if not self.registry.apply(now, encoded):
-            core = self.peers.others()[:1] if self.registry.outdated({service: version}) else []
-            return [Send(ip, ask_for(service)) for ip in core]
-        return [Changed(f"service:{service}"), *self.tell_zone(service, {"k": "news", "n": encoded})]
+    def apply(self, now: float, news: TableNews) -> list[Deed]:
+        """What another node told; where it can't be applied, the whole table is asked for."""
+        service = news.service
+        if not self.registry.apply(now, news.table):
+            core = self.peers.others()[:1] if self.registry.outdated({service: news.version}) else []
+            return [Send(ip, TableRequest(service).encode()) for ip in core]
+        return [Changed(f"service:{service}"), *self.tell_zone(service, news.encode())]
 
     def tell_zone(self, service: str, message: Message) -> list[Deed]:
         """The home node tells the others of its zone."""
--- a/swarm/peers.py
+++ b/swarm/peers.py
@@ -30,6 +30,10 @@
     def row(self) -> list[Any]:
         return [self.ip, self.zone, self.region, self.disk, self.life]
 
+    def who(self) -> tuple[str, int]:
+        """The address and the life: who promises of duties are given to."""
+        return self.ip, self.life
+
 
 @dataclass(slots=True)
 class Peer:
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -9,6 +9,7 @@
 from hazelspring.registry.tables import ServerEntry
 from queenless.deeds import Deed, Send
 from queenless.dissemination import Disseminator
+from queenless.messages import TableNews
 from queenless.teller import MOST_NAMES, Outs
 from swarm.peers import About, Peers
 
@@ -123,10 +124,10 @@
         for n, door in enumerate(doors):
             if chance.random() < 0.1:
                 continue  # lost on its way
-            for deed in door.apply(1.0, told):
+            for deed in door.apply(1.0, TableNews(told)):
                 if isinstance(deed, Send) and deed.message["k"] == "ask":
                     wants += 1
-                    assert deed.to == "d0" and door.apply(1.0, reader.registry.encode(1.0, "shop"))
+                    assert deed.to == "d0" and door.apply(1.0, TableNews(reader.registry.encode(1.0, "shop")))
             assert door.registry.tables["shop"].servers == reader.registry.tables["shop"].servers, (step, n)
         for name, server in reader.registry.tables["shop"].servers.items():
             assert found[name].same(server)  # less time to go until it is warm is no news
@@ -153,10 +154,13 @@
     reader.listed(1.0, 1500, {"shop": {"i-1": replace(one, accepting=False), "i-2": other, "i-3": third}})
     change = reader.registry.encode_change(1.0, "shop")
     assert len(change) == 6 and len(change[2]) == 1
-    asked = door.apply(1.0, change)
+    asked = door.apply(1.0, TableNews(change))
     assert asked == [Send("d0", {"k": "ask", "s": "shop"})]
     assert door.registry.tables["shop"].servers.keys() == {"i-1", "i-3", "i-4"}
-    assert door.apply(1.0, reader.registry.encode(1.0, "shop")) and door.apply(1.0, change) == []
+    assert (
+        door.apply(1.0, TableNews(reader.registry.encode(1.0, "shop")))
+        and door.apply(1.0, TableNews(change)) == []
+    )
     assert door.registry.tables["shop"].servers == reader.registry.tables["shop"].servers
 
 
@@ -169,9 +173,9 @@
     first, second, door = (Disseminator(Peers(replace(about, disk=True), 0.0)) for about in ABOUTS[:3])
     first.listed(1.0, 9000, {"shop": {"i-1": one, "i-2": other}})
     for node in (second, door):
-        node.apply(1.0, first.registry.encode(1.0, "shop"))
+        node.apply(1.0, TableNews(first.registry.encode(1.0, "shop")))
     first.listed(2.0, 1000, {"shop": {"i-1": one, "i-2": replace(other, accepting=False)}})
-    door.apply(2.0, first.registry.encode(2.0, "shop"))
+    door.apply(2.0, TableNews(first.registry.encode(2.0, "shop")))
     newest = {"i-1": replace(one, accepting=False), "i-2": replace(other, accepting=False)}
     for step in range(
         2
@@ -179,7 +183,7 @@
         second.listed(3.0 + step, 1100, {"shop": dict(newest)})
         for source, to in ((second, door), (door, second)):
             if to.registry.outdated(source.registry.versions()):
-                to.apply(3.0 + step, source.registry.encode(3.0 + step, "shop"))
+                to.apply(3.0 + step, TableNews(source.registry.encode(3.0 + step, "shop")))
     for node in (second, door):
         assert not any(server.accepting for server in node.registry.tables["shop"].servers.values())
 
@@ -191,11 +195,11 @@
     first.listed(1.0, 5000, {"shop": {"i-1": one}})
     second.listed(1.0, 5000, {"shop": {"i-1": replace(one, accepting=False)}})
     for source in (first, second):
-        door.apply(1.0, source.registry.encode(1.0, "shop"))
+        door.apply(1.0, TableNews(source.registry.encode(1.0, "shop")))
     for step in range(2):  # the newest list is read again, by whoever reads it from then on
         second.listed(2.0 + step, 5500 + 500 * step, {"shop": {"i-1": replace(one, accepting=False)}})
         for source in nodes:
             for to in nodes:
                 if to.registry.outdated(source.registry.versions()):
-                    to.apply(2.0 + step, source.registry.encode(2.0 + step, "shop"))
+                    to.apply(2.0 + step, TableNews(source.registry.encode(2.0 + step, "shop")))
     assert not any(node.registry.tables["shop"].servers["i-1"].accepting for node in nodes)
