--- a/hazelspring/registry/list_duty.py
+++ b/hazelspring/registry/list_duty.py
@@ -11,12 +11,12 @@
 from swarm.duties import Duties
 
 LIST = 0  # the number of this duty
-MAX_INTERVAL = (
-    0.5  # seconds; more reads cost calls to the platform, and the list lags by more than this anyway
-)
-MAX_TIMEOUT = 1.5  # seconds; a platform that takes longer is as one that doesn't answer
-MIN_INTERVAL = 0.1  # seconds; about a round trip between regions with a new connection,
-MIN_TIMEOUT = 0.3  # and three: no cutoff makes reads fail that would end well
+# seconds between two reads at most: rarer ones make news late, and the platform's list itself lags by more than this
+MAX_INTERVAL = 0.5
+# seconds for one read at most: a platform that takes longer is as one that doesn't answer
+MAX_TIMEOUT = 1.5
+# seconds: a round trip between regions with a new connection, and three; no cutoff makes reads fail that would end well
+MIN_INTERVAL, MIN_TIMEOUT = 0.1, 0.3
 UNHEARD = 0.25  # seconds after its timeout at which a read whose end was not heard is given up
 NEVER = -1e9
 
