--- a/apiary/stands.py
+++ b/apiary/stands.py
@@ -115,6 +115,13 @@
         )
 
 
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """End a connection by a reset, as a machine that has forgotten it does."""
+    wire = writer.get_extra_info("socket")
+    wire.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class Stands:
     """The platform and all servers, in one loop."""
 
@@ -158,11 +165,9 @@
         return 200, {"Content-Type": "application/json"}, answer
 
     def reset_platform(self) -> None:
-        """Reset every connection to the platform, as a machine that has forgotten them does."""
+        """Reset every connection to the platform."""
         for writer in self.platform_writers:
-            wire = writer.get_extra_info("socket")
-            wire.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            writer.transport.abort()
+            reset_connection(writer)
 
     def close(self) -> None:
         for server in self.listening:
--- a/tests/test_instance_list.py
+++ b/tests/test_instance_list.py
@@ -4,12 +4,11 @@
 
 import asyncio
 import json
-import socket
-import struct
 from collections import Counter
 
 import pytest
 
+from apiary.stands import reset_connection
 from hazelspring.registry.instance_list import parse_instance_list
 from hive.instance_list import PAUSE_PART, InstanceListClient, InstanceListError
 from hive.list_reader import ListReader
@@ -49,11 +48,9 @@
                 return
 
     def reset(self) -> None:
-        """Reset every connection, as a machine that has forgotten them does."""
+        """Reset every connection."""
         for writer in self.writers:
-            wire = writer.get_extra_info("socket")
-            wire.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            writer.transport.abort()
+            reset_connection(writer)
 
     async def pause(self, seconds: float) -> None:
         self.paused.append(seconds)
