Show when a leaving server got its last request, and how old the roster is

- log line `servers leave`, with the time since the last request and the age of the list till then;
- heartbeats remember whether they asked for the roster, as a typed record.

--- a/bench/leaves.py
+++ b/bench/leaves.py
@@ -130,7 +130,7 @@
     tasks = [(site, chosen.seed + n) for n in range(chosen.days) for site in chosen.sites]
     bad = 0
     with ThreadPoolExecutor(chosen.jobs) as pool:
-        plays = pool.map(lambda task: play(chosen.bench, *task, chosen.length, chosen.keep), tasks)
+        plays = pool.map(lambda task: play(chosen.bench, task[0], task[1], chosen.length, chosen.keep), tasks)
         for found in plays:
             bad += bool(found.wrong)
             row = f"{found.site:22s} {found.seed:6d} {found.median:7.0f} {found.worst:7.0f}  {found.wrong}"
--- a/hazelspring/daemon/node_process.py
+++ b/hazelspring/daemon/node_process.py
@@ -26,6 +26,7 @@
 from hazelspring.daemon.status import MAX_LOOKUP_LIFETIME, lookup_addresses, node_status
 from hazelspring.daemon.structured_log import log
 from hazelspring.daemon.supervisor import Supervisor
+from hazelspring.daemon.table_log import log_leaving, log_table
 from hazelspring.daemon.unserved_log import UnservedLog
 from hazelspring.daemon.upstream_servers import UpstreamServers
 from hazelspring.node.actions import (
@@ -334,22 +335,18 @@
 
     def use_table(self, service: str) -> None:
         """Route a service's requests by its table of servers."""
-        self.log_table(service)
-        servers = self.node.registry.tables[service].servers.values()
-        for server in self.router.update_endpoints(self.loop.time(), service, servers):
+        now, table = self.loop.time(), self.node.registry.tables[service]
+        servers = table.servers.values()
+        log_table(service, table)
+        leaving = self.router.fleet.leaving(service, servers)
+        log_leaving(now, leaving, self.node.freshness.age(now))
+        for server in leaving:
+            self.servers.leave(server.number)
+        for server in self.router.update_endpoints(now, service, servers):
             self.servers.remove(server.number)
         for server in self.router.fleet.services[service].values():
             self.servers.place(server.number, parse_address(server.address), 0.0)
 
-    def log_table(self, service: str) -> None:
-        """Log which table of a service's servers is used from now on."""
-        table = self.node.registry.tables[service]
-        draining = sum(not server.accepting for server in table.servers.values())
-        count, version = len(table.servers), table.version
-        log.write(
-            "registry", "uses a table", service=service, version=version, servers=count, draining=draining
-        )
-
     async def read_list(self, number: int) -> None:
         """Read the platform's list, and report the end to the node that asked, unless it was replaced meanwhile."""
         node = self.node
--- a/hazelspring/daemon/upstream_servers.py
+++ b/hazelspring/daemon/upstream_servers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+import time
 from dataclasses import dataclass
 from typing import cast
 
@@ -81,6 +82,11 @@
         self.foreign = False  # the answer that is read now belongs to another request
         self.out_of_step = False  # a foreign answer has come: the connection is not used again
 
+    def carry(self, attempt: Attempt) -> None:
+        """Send an attempt; count it where its server was known to leave."""
+        cast(UpstreamServers, self.pool.owner).count_late(self.pool.name)
+        super().carry(attempt)
+
     def clear(self) -> None:
         """Forget the answer that was read, before the next one."""
         super().clear()
@@ -198,6 +204,26 @@
 
     def __init__(self, connect_timeout: float, idle: float, most_open: int, counts: Counts) -> None:
         super().__init__(connect_timeout, idle, (), most_open, counts)
+        self.left_at: dict[
+            int, float
+        ] = {}  # monotonic seconds at which servers were known to leave, by number
+        self.late_requests = 0  # requests sent to servers that were known to leave
+        self.latest_request = 0.0  # seconds from that knowledge to such a request, at most
+
+    def leave(self, number: int) -> None:
+        """Note that a server is known to leave from now on."""
+        self.left_at.setdefault(number, time.monotonic())
+
+    def remove(self, backend: int) -> None:
+        """End the connections to a server that is gone."""
+        self.left_at.pop(backend, None)
+        super().remove(backend)
+
+    def count_late(self, number: int) -> None:
+        """Count a request that is sent to a server now, where that was known to leave."""
+        if (left_at := self.left_at.get(number)) is not None:
+            self.late_requests += 1
+            self.latest_request = max(self.latest_request, time.monotonic() - left_at)
 
     def report(self, text: bytes) -> tuple[float, ...]:
         """Return running, waiting and slots of a Server-Load header; nothing where it is malformed."""
--- a/hazelspring/membership/peer_table.py
+++ b/hazelspring/membership/peer_table.py
@@ -23,6 +23,8 @@
         self.roster_table = Roster()  # as last received or made
         # the most nodes that a roster ever had, here or at a node that reported it: nodes share evenly by it
         self.max_node_count = 0
+        # until when the roster is known to be that of a member of the core, in seconds; at first the node's start
+        self.roster_confirmed_at = now
         self._core = CoreNodes(me, now)
         self._roster_builder = RosterBuilder(me, self.roster_table)
 
@@ -189,6 +191,7 @@
 
     def update_roster(self, now: float) -> None:
         """Bring the roster in line with the heartbeats that came here lately."""
+        self.roster_confirmed_at = now
         if self._roster_builder.update(now):
             self._note_node_count()
 
--- a/hazelspring/node/heartbeats.py
+++ b/hazelspring/node/heartbeats.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import zlib
+from dataclasses import dataclass
 from typing import Any
 
 from hazelspring.leases.singleton_roles import SingletonRoles
@@ -40,6 +41,15 @@
     return zlib.crc32(incarnation.to_bytes(16, "big")) % 1_000_000
 
 
+@dataclass(slots=True, frozen=True)
+class SentHeartbeat:
+    """What is remembered of a heartbeat until its reply comes."""
+
+    sent_at: float  # seconds of the steady clock
+    known_state_checksum: int  # of the recipient's state, as the heartbeat named it
+    asks_roster: bool = False
+
+
 class Heartbeats:
     """Makes the heartbeats of one node, replies to those of other nodes, and records what their replies report.
 
@@ -66,8 +76,7 @@
         # Each incarnation numbers its heartbeats from a start of its own, so a reply to a heartbeat of an earlier
         # incarnation is recognized by its number, also after a reboot that restarted the steady clock.
         self.last_number = incarnation_hash(peers.me.incarnation) * NUMBERS_PER_INCARNATION
-        # The latest heartbeats, by number: when each was sent, and the checksum of the recipient's state it named.
-        self.sent: dict[int, tuple[float, int]] = {}
+        self.sent: dict[int, SentHeartbeat] = {}  # the latest heartbeats, by number
         # The state that was reported last, and its checksum.
         self.cached_state_checksum: tuple[NodeState | None, int] = (None, 0)
         # When the latest heartbeat was sent to each address that has never answered.
@@ -91,13 +100,10 @@
             tuple(self.roles.declined_roles(now)),
         )
 
-    def next_number(self, now: float, known: int) -> int:
-        """Return the number of a heartbeat that is sent now, and remember it.
-
-        `known` is the checksum of the recipient's state that the heartbeat names.
-        """
+    def remember(self, heartbeat: SentHeartbeat) -> int:
+        """Remember a heartbeat that is sent now, and return its number."""
         self.last_number += 1
-        self.sent[self.last_number] = (now, known)
+        self.sent[self.last_number] = heartbeat
         if len(self.sent) > MAX_REMEMBERED_HEARTBEATS:
             del self.sent[next(iter(self.sent))]
         return self.last_number
@@ -108,7 +114,7 @@
         None where another incarnation sent it, or where it is too old to be remembered.
         """
         sent = self.sent.get(number)
-        return sent[0] if sent is not None else None
+        return sent.sent_at if sent is not None else None
 
     def own_checksum(self, state: NodeState) -> int:
         """Return the checksum of this node's own state, computed again only where the state has changed."""
@@ -158,7 +164,7 @@
         wants_roster = not takes_roles and self.is_roster_source(ip)
         return Heartbeat(
             me.incarnation,
-            self.next_number(now, known),
+            self.remember(SentHeartbeat(now, known, wants_roster)),
             ready,
             self.peers.core_checksum(),
             known,
@@ -272,7 +278,8 @@
         if not peer.knows_me or asked_at < peer.latest_request_at:
             # It reported nothing of its sender, or the reply to a later heartbeat came before it.
             return peer
-        if message.state is None and self.sent[message.number][1] != peer.state_checksum:
+        sent = self.sent[message.number]
+        if message.state is None and sent.known_state_checksum != peer.state_checksum:
             # The reply means "no change" to the state known when the heartbeat was sent; another reply has reported
             # a different state since, so this one says nothing about the state known now.
             return peer
@@ -288,11 +295,17 @@
                 peer.caught_up_at = asked_at
         for role in message.granted_roles or ():
             self.roles.on_granted(role, about.ip, asked_at, about.incarnation)
+        self.apply_roster(message)
+        if sent.asks_roster and self.peers.holds_membership(about.ip):
+            self.peers.roster_confirmed_at = max(self.peers.roster_confirmed_at, asked_at)
+        return peer
+
+    def apply_roster(self, message: HeartbeatReply) -> None:
+        """Take the roster, or its change, that a reply holds; it holds neither where both nodes have the same one."""
         if message.roster_rows is not None and message.roster_rows != self.peers.roster_rows:
             self.peers.replace_roster(message.roster_rows)
         if message.roster_change is not None:
             self.peers.apply_roster_change(list(message.roster_change))
-        return peer
 
     def apply_state(self, peer: Peer, state: NodeState, checksum: int) -> None:
         """Record the state that a peer reported, and its checksum."""
--- a/hazelspring/routing/endpoint.py
+++ b/hazelspring/routing/endpoint.py
@@ -48,6 +48,9 @@
     in_flight: int = 0
     """Requests of this node."""
 
+    sent_at: float = NEVER
+    """When this node last sent a request there."""
+
     running: int = 0
     """Requests of all nodes that the server ran, as it reported last."""
 
--- a/hazelspring/routing/endpoint_set.py
+++ b/hazelspring/routing/endpoint_set.py
@@ -101,6 +101,12 @@
             self.remove(server)
         return gone
 
+    def leaving(self, service: str, entries: Iterable[ServerEntry]) -> list[Endpoint]:
+        """Return the servers of a service that accept requests here, and no more by its new entries."""
+        known = self.services.get(service, {})
+        left = (known.get(entry.id) for entry in entries if not entry.accepting)
+        return [server for server in left if server is not None and server.accepting]
+
     def add(self, service: str, entry: ServerEntry, cold_until: float) -> Endpoint:
         """Add an incarnation that was not known."""
         self.last_number += 1
--- a/hazelspring/routing/request_router.py
+++ b/hazelspring/routing/request_router.py
@@ -270,6 +270,7 @@
         pending.attempts_sent += 1
         pending.attempts_in_flight += 1
         server.in_flight += 1
+        server.sent_at = self.now
         pending.hedge_check_at = self.first_hedge_check(pending, expected)
         self.actions.append(Send(pending.request, server.number, 0.0))
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 import hazelspring.consensus.control_state
@@ -382,7 +384,7 @@
     assert not machine.on_message and core.dropped["grant"] and core.dropped["echo"]
     asked = {ip: peer.latest_request_at for ip, peer in core.peers.peers.items()}
     # the fence bites: were numbers of beats not each life's own, the old answers would count
-    renumbered = {number: (world.now, known) for number, (_, known) in old.heartbeats.sent.items()}
+    renumbered = {number: replace(sent, sent_at=world.now) for number, sent in old.heartbeats.sent.items()}
     monkeypatch.setattr(core.heartbeats, "sent", renumbered)
     for source, message in held:
         if isinstance(message, HeartbeatReply):
@@ -586,7 +588,7 @@
     before = reader.peers.peers["d1"].caught_up_at
     world.run(0.5)
     reader.on_message(world.now, "d1", echo(third))
-    assert reader.peers.peers["d1"].caught_up_at == before < reader.heartbeats.sent[third.number][0]
+    assert reader.peers.peers["d1"].caught_up_at == before < reader.heartbeats.sent[third.number].sent_at
 
 
 def test_a_body_that_was_acknowledged_below_a_higher_number_is_not_refused_by_a_node_behind() -> None:
