--- a/tests/test_upstream_servers.py
+++ b/tests/test_upstream_servers.py
@@ -22,13 +22,15 @@
 from hazelspring.routing.request_router import RequestRouter
 from hazelspring.routing.shared_limits import RouterSettings
 from ivymux.caller import BadRequest, Exchange
-from ivymux.config import Address
+from ivymux.config import Address, parse_address
 from ivymux.host import Answer
 from ivymux.link import READ, SMALL, Flow, Result
 from ivymux.metrics import Counts
 from orchidhill import interface as i
 from orchidhill.interface import Outcome
 
+from .sockets import Backend, listening, run, until
+
 
 class Wire(asyncio.Transport):
     """A transport that notes what is done to it."""
@@ -323,3 +325,28 @@
 
     asyncio.run(run())
     assert answers == {"held": 503, "offered": 504}
+
+
+def test_a_request_that_waits_for_a_connection_is_not_sent_to_a_server_that_leaves_meanwhile() -> None:
+    """It never ran there, so it may go elsewhere at once; what was sent before goes on to its end."""
+
+    async def test() -> None:
+        backend = Backend(answer=lambda _message: None)
+        async with listening(backend.handle) as dial:
+            servers = UpstreamServers(5.0, 30.0, 100, Counts())
+            servers.place(1, parse_address(dial), 0.0)
+            results: list[Result] = []
+            sent, waiting = (
+                UpstreamAttempt(b"me", b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", results.append) for _ in range(2)
+            )
+            servers.start(1, 600.0, sent)
+            await until(lambda: sent.link is not None)
+            servers.start(1, 600.0, waiting)
+            servers.leave(1)
+            await until(lambda: len(servers.pools[1].links) == 2)
+            assert waiting.link is None and waiting.over and results[0].outcome.never_ran
+            assert sent.link is not None and not sent.over
+            assert servers.late_requests == 0
+            servers.close()
+
+    run(test())
