Read the list at any member that knows of no recent read

The lease on the role only saves calls to the platform, so the deadline need not rest on it.

- A member of the core that knows of no read within half of drainCutoffMs (1.5 s at most) reads the list itself, whoever holds the role.
- A read that another reader's table came after is dropped and made again at once, as it may hold an older list and would become the newer version.
A holder whose lease ran out meanwhile no longer loses its read.

--- a/hazelspring/node/node.py
+++ b/hazelspring/node/node.py
@@ -266,7 +266,7 @@
         """Grant leases of roles to this node itself, and perform the role of reading the platform's list.
 
         After a restart, grants begin once the other members have reported which leases they rely on.  The list is also
-        read without the role, where there is no table here after `EMPTY_REGISTRY_GRACE`.
+        read without the role: see `may_read_list`, and not before `EMPTY_REGISTRY_GRACE` has gone by.
         """
         if not self.is_core_candidate():
             return
@@ -291,8 +291,12 @@
         self.actions += [Send(ip, message) for ip in self.peers.other_core_nodes()]
 
     def may_read_list(self, now: float) -> bool:
-        """Return whether this node may read the platform's list: it holds the role, or has no table at all."""
-        return self.list_reader_role.holds(now) or not self.registry.tables
+        """Return whether this node may read the platform's list.
+
+        It holds the role, it has no table at all, or it knows of no read that is recent enough.
+        """
+        role = self.list_reader_role
+        return role.holds(now) or not self.registry.tables or role.is_backup_due(now, self.freshness.age(now))
 
     def drain(self, now: float) -> list[Action]:
         """Begin a graceful shutdown: release this node's roles, so that other nodes take them at once."""
@@ -307,7 +311,8 @@
     ) -> list[Action]:
         """Apply the result of a read of the platform's list, and send what it changes.
 
-        A read that was given up, or after which this node may no longer read the list, changes nothing.
+        A read that was given up changes nothing.  Nor does one that another node's may be newer than: a table of it
+        came meanwhile, or, where this node does not hold the role, the other read is known to have begun later.
 
         Parameters
         ----------
@@ -320,11 +325,15 @@
         number
             The number of the read.
         """
-        newest = self.list_reader_role.end_read(number, found is not None)
-        if found is None or not newest or not self.may_read_list(now):
+        role = self.list_reader_role
+        if not role.end_read(number, found is not None) or found is None:
+            return []
+        if self.registry.tables and (
+            role.was_superseded() or (not role.holds(now) and self.freshness.read_at >= role.read_at)
+        ):
             return []
         actions = self.disseminator.publish_list(now, wall_ms, found)
-        self.freshness.confirm(self.list_reader_role.read_at)
+        self.freshness.confirm(role.read_at)
         return actions
 
     def lease_credits(self, now: float, tenant: str, number: int, units: float) -> list[Action]:
@@ -377,7 +386,10 @@
 
     def on_table_update(self, now: float, news: TableUpdate) -> None:
         """Apply an update of a table: the complete table, or a change of it."""
+        before = self.registry.versions()
         self.actions += self.disseminator.apply_update(now, news)
+        if self.registry.versions() is not before:
+            self.list_reader_role.on_superseded(now)
         self.table_requests.on_update(news.service)
 
     def on_heartbeat(self, now: float, source: str, message: Heartbeat) -> None:
