--- a/hazelspring/daemon/node_process.py
+++ b/hazelspring/daemon/node_process.py
@@ -340,10 +340,10 @@
         log_table(service, table)
         leaving = self.router.fleet.leaving(service, servers)
         log_leaving(now, leaving, self.node.freshness.age(now))
-        for server in leaving:
-            self.servers.leave(server.number)
         for server in self.router.update_endpoints(now, service, servers):
             self.servers.remove(server.number)
+        for server in leaving:
+            self.servers.leave(server.number)
         for server in self.router.fleet.services[service].values():
             self.servers.place(server.number, parse_address(server.address), 0.0)
 
--- a/hazelspring/daemon/upstream_servers.py
+++ b/hazelspring/daemon/upstream_servers.py
@@ -211,14 +211,22 @@
         self.latest_request = 0.0  # seconds from that knowledge to such a request, at most
 
     def leave(self, number: int) -> None:
-        """Note that a server is known to leave from now on."""
+        """Send nothing more to a server that is known to leave; what was sent there goes on."""
         self.left_at.setdefault(number, time.monotonic())
+        self._end_waiting(number)
 
     def remove(self, backend: int) -> None:
-        """End the connections to a server that is gone."""
+        """End the connections to a server that is gone, but for those that are in use."""
         self.left_at.pop(backend, None)
+        self._end_waiting(backend)
         super().remove(backend)
 
+    def _end_waiting(self, number: int) -> None:
+        """End the attempts that still wait for a connection to a server, as not run."""
+        pool = self.pools.get(number)
+        for attempt in list(pool.waiting) if pool is not None else ():
+            attempt.give_up(Outcome.CANCELLED)
+
     def count_late(self, number: int) -> None:
         """Count a request that is sent to a server now, where that was known to leave."""
         if (left_at := self.left_at.get(number)) is not None:
--- a/tests/test_upstream_servers.py
+++ b/tests/test_upstream_servers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any, cast
 
@@ -327,7 +328,10 @@
     assert answers == {"held": 503, "offered": 504}
 
 
-def test_a_request_that_waits_for_a_connection_is_not_sent_to_a_server_that_leaves_meanwhile() -> None:
+@pytest.mark.parametrize("end", [UpstreamServers.leave, UpstreamServers.remove])
+def test_a_request_that_waits_for_a_connection_is_not_sent_to_a_server_that_leaves_meanwhile(
+    end: Callable[[UpstreamServers, int], None],
+) -> None:
     """It never ran there, so it may go elsewhere at once; what was sent before goes on to its end."""
 
     async def test() -> None:
@@ -342,8 +346,9 @@
             servers.start(1, 600.0, sent)
             await until(lambda: sent.link is not None)
             servers.start(1, 600.0, waiting)
-            servers.leave(1)
-            await until(lambda: len(servers.pools[1].links) == 2)
+            pool = servers.pools[1]
+            end(servers, 1)
+            await until(lambda: pool.connecting == 0)
             assert waiting.link is None and waiting.over and results[0].outcome.never_ran
             assert sent.link is not None and not sent.over
             assert servers.late_requests == 0
