Bind nodes by invariants also while a member of the core is away

- In touch: the same members, more than half of the core, have answered for inTouchMs, and the core is not superseded by a recovered one.
- list_known allows drainCutoffMs.
- roster_known: the roster that the directory answers from is a member's of inTouchMs + 3 s less the silence after which a node is dropped, at most.

--- a/hazelspring/daemon/node_metrics.py
+++ b/hazelspring/daemon/node_metrics.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from hazelspring.node.invariants import LIST_KNOWN, LIST_READ
+from hazelspring.node.invariants import LIST_KNOWN, LIST_READ, ROSTER_KNOWN
 
 if TYPE_CHECKING:
     from hazelspring.daemon.node_process import NodeProcess
@@ -47,7 +47,7 @@
     yield Sample("configuration_fresh_seconds", process.router.fresh_until - now)
     yield Sample("core_member", process.node.control.is_member())
     yield from server_list_samples(process, now)
-    for name in (LIST_READ, LIST_KNOWN):
+    for name in (LIST_READ, LIST_KNOWN, ROSTER_KNOWN):
         count = process.node.invariants.violations[name]
         yield Sample("invariant_violations_total", count, (("name", name),))
     yield Sample("requests_on_old_list_total", process.router.requests_on_stale_list)
--- a/hazelspring/node/invariants.py
+++ b/hazelspring/node/invariants.py
@@ -1,11 +1,13 @@
-"""What must hold at a node while the core is whole; violations are counted by name, once each time one begins.
+"""What must hold at a node that is in touch with the core; violations are counted by name, once each time one begins.
 
 - `list_read`: a holder of the list reader's lease has read the platform's list of late, or has handed the lease on.
-- `list_known`: all that the platform's list showed `drain_cutoff` and a little before is known here.
+- `list_known`: all that the platform's list showed `drain_cutoff` before is known here.
+- `roster_known`: the roster is that of a member of the core of late, so that no machine is named to clients that has
+  been off for `in_touch` and `NAMED_AFTER_IN_TOUCH`.
 
-A node is in touch once every member of the core has answered it for `in_touch` seconds, in one incarnation and from
-the disk that is the member: a member that ends may have been the list reader, and its lease has to end first.  Where
-the platform answers nobody, `list_known` is violated too, as requests then go by a list that is too old.
+A node is in touch once the same members of the core, more than half of it, have answered it for `in_touch` seconds,
+each in one incarnation and from the disk that is the member.  A member that stays away is no excuse.  Where the
+platform answers nobody, `list_known` is violated too, as requests then go by a list that is too old.
 """
 
 from __future__ import annotations
@@ -15,6 +17,7 @@
 from dataclasses import dataclass
 
 from hazelspring.membership.peer_table import PeerTable
+from hazelspring.membership.timeouts import FAR_ROSTER_TIMEOUT
 from hazelspring.node.actions import InvariantViolated
 from hazelspring.node.heartbeats import NEAR_INTERVAL, Heartbeats
 from hazelspring.registry.list_freshness import ListFreshness
@@ -22,12 +25,17 @@
 
 LIST_READ = "list_read"
 LIST_KNOWN = "list_known"
+ROSTER_KNOWN = "roster_known"
 
 NEVER = -math.inf
 
-# Seconds, each for two heartbeats and a round trip.
-HANDOVER_TIME = 1.0  # more that a holder may take to hand the list reader's lease on
-CONFIRMATION_TIME = 1.0  # more until a node is told that its list is up to date
+# Seconds more that a holder may take to hand the list reader's lease on: two heartbeats and a round trip.
+HANDOVER_TIME = 1.0
+# Seconds beyond `in_touch` after which no machine that is off may be named to clients.
+NAMED_AFTER_IN_TOUCH = 3.0
+MIN_ROSTER_AGE = (
+    1.0  # seconds that a roster may be old whatever the settings: two heartbeats and a round trip
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -39,12 +47,17 @@
     drain_cutoff
         How old a node's knowledge of the platform's list may be.
     in_touch
-        For how long the whole core must have answered a node before it has to know the list.
+        For how long the core must have answered a node before it has to know the list and the roster.
     """
 
     drain_cutoff: float = 3.0
     in_touch: float = 4.0
 
+    @property
+    def roster_age(self) -> float:
+        """How old a node's roster may be: what a machine's silence leaves of the time for which it may be named."""
+        return max(MIN_ROSTER_AGE, self.in_touch + NAMED_AFTER_IN_TOUCH - FAR_ROSTER_TIMEOUT)
+
 
 class Invariants:
     """Checks the invariants of one node.
@@ -55,10 +68,10 @@
         How often each invariant has ceased to hold, by name.
     violated
         Names of the invariants that do not hold now.
-    core_responsive_since
-        Since when the whole core answers, all members in the same incarnations.
-    incarnations
-        Address and incarnation of each member at the last check.
+    core_unchanged_since
+        Since when the same members answer, more than half of the core.
+    responsive
+        Address and incarnation of each member that answered at the last check.
     """
 
     def __init__(
@@ -80,8 +93,8 @@
         self.violations: Counter[str] = Counter()
         self.violated: set[str] = set()
         self.checked_at = NEVER
-        self.core_responsive_since = now
-        self.incarnations: tuple[tuple[str, int], ...] = ()
+        self.core_unchanged_since = now
+        self.responsive: tuple[tuple[str, int], ...] = ()
 
     def check(self, now: float) -> list[InvariantViolated]:
         """Return what has ceased to hold since the last check; it is made as often as heartbeats tell anything new."""
@@ -94,25 +107,30 @@
             violated.add(LIST_READ)
         if not self._list_is_known(now):
             violated.add(LIST_KNOWN)
+        if not self._roster_is_known(now):
+            violated.add(ROSTER_KNOWN)
         new = sorted(violated - self.violated)
         self.violated = violated
         self.violations.update(new)
         return [InvariantViolated(name) for name in new]
 
     def in_touch(self, now: float) -> bool:
-        """Return whether the whole core has answered long enough for this node to be bound to know the list."""
-        return now - self.core_responsive_since >= self.bounds.in_touch
+        """Return whether the core has answered long enough for this node to be bound by its invariants."""
+        return now - self.core_unchanged_since >= self.bounds.in_touch
 
     def _check_core(self, now: float) -> None:
-        """Start the time in touch anew where a member does not answer, or has started anew."""
+        """Start the time in touch anew where other members answer than before, too few, or those of an old core."""
         core = self.peers.core_nodes
-        incarnations = tuple((ip, self._incarnation(ip)) for ip in core)
-        whole = self.peers.core_agreed and all(
-            self.heartbeats.is_responsive(now, ip) and self.peers.holds_membership(ip) for ip in core
+        responsive = tuple(
+            (ip, self._incarnation(ip))
+            for ip in core
+            if self.heartbeats.is_responsive(now, ip) and self.peers.holds_membership(ip)
         )
-        if not whole or incarnations != self.incarnations:
-            self.core_responsive_since = now
-        self.incarnations = incarnations
+        superseded = self.heartbeats.control.acceptor.is_superseded()  # by a core that was recovered by hand
+        settled = self.peers.core_agreed and not superseded and len(responsive) > len(core) // 2
+        if not settled or responsive != self.responsive:
+            self.core_unchanged_since = now
+        self.responsive = responsive
 
     def _incarnation(self, ip: str) -> int:
         """Return the incarnation of a member, as heard from itself or else as it is listed."""
@@ -130,4 +148,8 @@
         """Return whether the list is known here as of late enough, where the core has told of it for long enough."""
         if not self.in_touch(now):
             return True
-        return self.freshness.age(now) <= self.bounds.drain_cutoff + CONFIRMATION_TIME
+        return self.freshness.age(now) <= self.bounds.drain_cutoff
+
+    def _roster_is_known(self, now: float) -> bool:
+        """Return whether the roster is as new as it must be, where the core has told of it for long enough."""
+        return not self.in_touch(now) or now - self.peers.roster_confirmed_at <= self.bounds.roster_age
