Say "alive, or all" once, and forget a leave that was taken back

Three places picked the live ones of some nodes, and all where none was; PeerTable.alive_or_all now does. A server that the platform lists as accepting again no longer counts as leaving in the metric of late requests.

--- a/hazelspring/daemon/node_process.py
+++ b/hazelspring/daemon/node_process.py
@@ -346,6 +346,8 @@
             self.servers.leave(server.number)
         for server in self.router.fleet.services[service].values():
             self.servers.place(server.number, parse_address(server.address), 0.0)
+            if server.accepting:
+                self.servers.accept(server.number)
 
     async def read_list(self, number: int) -> None:
         """Read the platform's list, and report the end to the node that asked, unless it was replaced meanwhile."""
--- a/hazelspring/daemon/upstream_servers.py
+++ b/hazelspring/daemon/upstream_servers.py
@@ -204,9 +204,8 @@
 
     def __init__(self, connect_timeout: float, idle: float, most_open: int, counts: Counts) -> None:
         super().__init__(connect_timeout, idle, (), most_open, counts)
-        self.left_at: dict[
-            int, float
-        ] = {}  # monotonic seconds at which servers were known to leave, by number
+        # when servers that leave were known to, by number, in monotonic seconds
+        self.left_at: dict[int, float] = {}
         self.late_requests = 0  # requests sent to servers that were known to leave
         self.latest_request = 0.0  # seconds from that knowledge to such a request, at most
 
@@ -215,6 +214,10 @@
         self.left_at.setdefault(number, time.monotonic())
         self._end_waiting(number)
 
+    def accept(self, number: int) -> None:
+        """Note that a server takes requests, also where it was known to leave before."""
+        self.left_at.pop(number, None)
+
     def remove(self, backend: int) -> None:
         """End the connections to a server that is gone, but for those that are in use."""
         self.left_at.pop(backend, None)
--- a/hazelspring/membership/peer_table.py
+++ b/hazelspring/membership/peer_table.py
@@ -61,6 +61,10 @@
         peer = self.peers.get(ip)
         return ip == self.me.ip or (peer is not None and now - peer.heard_at < ALIVE_TIMEOUT)
 
+    def alive_or_all(self, now: float, ips: list[str]) -> list[str]:
+        """Return those of some nodes that were heard lately, in their order; all of them where none was."""
+        return [ip for ip in ips if self.is_alive(now, ip)] or ips
+
     def is_member_alive(self, now: float, member: Member) -> bool:
         """Return whether a member has answered lately from the disk that is the member's."""
         return self.peer_of(member) is not None and now - self.last_heard_at(member.ip) < ALIVE_TIMEOUT
--- a/hazelspring/node/dissemination.py
+++ b/hazelspring/node/dissemination.py
@@ -59,10 +59,10 @@
         """
         service = news.service
         if not self.registry.apply(now, news.table):
-            others = self.peers.other_core_nodes()
-            alive = [ip for ip in others if self.peers.is_alive(now, ip)] or others
-            core = alive[:1] if self.registry.outdated({service: news.version}) else []
-            return [Send(ip, TableRequest(service)) for ip in core]
+            if not self.registry.outdated({service: news.version}):
+                return []
+            core = self.peers.alive_or_all(now, self.peers.other_core_nodes())
+            return [Send(ip, TableRequest(service)) for ip in core[:1]]
         return [TableChanged(service), *self.forward_to_zone(service, news)]
 
     def forward_to_zone(self, service: str, message: TableUpdate) -> list[Action]:
--- a/hazelspring/node/invariants.py
+++ b/hazelspring/node/invariants.py
@@ -33,9 +33,8 @@
 HANDOVER_TIME = 1.0
 # Seconds beyond `in_touch` after which no machine that is off may be named to clients.
 NAMED_AFTER_IN_TOUCH = 3.0
-MIN_ROSTER_AGE = (
-    1.0  # seconds that a roster may be old whatever the settings: two heartbeats and a round trip
-)
+# Seconds that a roster may be old whatever the settings: two heartbeats and a round trip.
+MIN_ROSTER_AGE = 1.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/hazelspring/node/state_transfer.py
+++ b/hazelspring/node/state_transfer.py
@@ -26,7 +26,7 @@
         last = self.last_request
         if not holders or not last.is_due(now):
             return None
-        alive = [ip for ip in holders if self.peers.is_alive(now, ip)] or holders
+        alive = self.peers.alive_or_all(now, holders)
         self.last_request = SentRequest(now, last.count + 1)
         return alive[last.count % len(alive)]
 
--- a/hazelspring/node/table_requests.py
+++ b/hazelspring/node/table_requests.py
@@ -54,7 +54,7 @@
         )
         if not holders:
             return []
-        alive = [ip for ip in holders if self.peers.is_alive(now, ip)] or holders
+        alive = self.peers.alive_or_all(now, holders)
         self.sent[service] = SentRequest(now, last.count + 1)
         return [Send(alive[last.count % len(alive)], TableRequest(service))]
 
