--- a/bench/control.py
+++ b/bench/control.py
@@ -1,8 +1,8 @@
-"""Times of the control side on simulated time: orders at rest, with a member lost, in a storm; repair; cost at rest.
+"""Times of the control side on simulated time: operators' calls, replacement of a member, cost at rest.
 
     PYTHONPATH=. python bench/control.py [--seeds N]
 
-Four core doors in two regions (20 ms one way, 2 ms a sync) and three doors without a disk; one line a figure.
+Four members of the core in two regions (20 ms one way, 2 ms a sync) and three other nodes; one line a figure.
 """
 
 from __future__ import annotations
@@ -15,60 +15,67 @@
 from hazelspring.node.messages import Message
 from tests.world import World
 
-AWAY = 0.5  # seconds between a loss and its successor's start
+CORE, OTHERS = 4, 3  # nodes
+NODES = CORE + OTHERS
+AWAY = 0.5  # seconds between a loss and its replacement's start
+REPLACEMENT_TIMEOUT = 20.0  # seconds after which a replacement counts as failed
+REST_TIME = 20.0  # seconds for which the cost at rest is measured
+MILLISECONDS_PER_SECOND = 1000
 
 
-def founded(seed: int) -> World:
-    world = World(4, 3, seed)
+def settled_world(seed: int) -> World:
+    """Return nodes whose core is agreed on, with a configuration in force."""
+    world = World(CORE, OTHERS, seed)
     world.run(3.5)
     world.put("d1", 5)
     world.run(1.5)
     return world
 
 
-def line(name: str, took: list[float], unit: str = "ms") -> None:
-    took = sorted(took)
-    scale = 1000 if unit == "ms" else 1
-    print(
-        f"{name:46} median {scale * statistics.median(took):7.0f} {unit}  worst {scale * took[-1]:7.0f} {unit}"
-        f"  of {len(took)}"
-    )
+def print_times(name: str, times: list[float]) -> None:
+    """Print a line of the table; `times` in seconds."""
+    median, worst = (MILLISECONDS_PER_SECOND * each for each in (statistics.median(times), max(times)))
+    print(f"{name:46} median {median:7.0f} ms  worst {worst:7.0f} ms  of {len(times)}")
 
 
-def orders(seeds: int, lost: bool) -> list[float]:
-    took = []
+def single_calls(seeds: int, lost: bool) -> list[float]:
+    """Return the seconds of configurations put one after another; `lost`: while a member is off."""
+    times = []
     for seed in range(seeds):
-        world = founded(seed)
+        world = settled_world(seed)
         if lost:
             world.kill("d4")
             world.run(0.2)
         for n in range(7):
-            call = world.calls[world.put(f"d{n % 7 + 1 if not lost else n % 3 + 1}", 6 + n)]
+            call = world.calls[world.put(f"d{n % (CORE - 1 if lost else NODES) + 1}", 6 + n)]
             world.run(1.0)
-            took.append(call.ended - call.at)
-    return took
+            times.append(call.ended - call.at)
+    return times
 
 
-def storm(seeds: int) -> list[float]:
-    """Eight orders at once each second for a minute, six of them configurations."""
+def concurrent_calls(seeds: int) -> list[float]:
+    """Return the seconds of eight calls at once, each second for a minute, six of them configurations."""
     calls = []
     for seed in range(seeds):
-        world = founded(seed)
+        world = settled_world(seed)
         for step in range(60):
-            tokens = [world.put(f"d{1 + (step + n) % 7}", 10 + 10 * step + n) for n in range(6)]
-            tokens += [world.evacuate(f"d{1 + (step + n) % 7}", f"z{n}", step % 2 == 0) for n in (0, 1)]
+            tokens = [world.put(f"d{1 + (step + n) % NODES}", 10 + 10 * step + n) for n in range(6)]
+            tokens += [world.evacuate(f"d{1 + (step + n) % NODES}", f"z{n}", step % 2 == 0) for n in (0, 1)]
             calls += [world.calls[token] for token in tokens]
             world.run(1.0)
         world.run(4.0)
     return [call.ended - call.at for call in calls]
 
 
-def repair(seeds: int, wiped: bool) -> list[float]:
-    """From the successor's start until the core holds it and nobody who is lost, so that it bears the next loss."""
-    took = []
+def replacement_times(seeds: int, wiped: bool) -> list[float]:
+    """Return the seconds from a replacement's start until it is a member, and nobody who is lost is one.
+
+    `wiped`: the replacement is the same machine with an empty disk.
+    """
+    times = []
     for seed in range(seeds):
-        world = founded(seed)
-        lost = f"d{1 + seed % 4}"
+        world = settled_world(seed)
+        lost = f"d{1 + seed % CORE}"
         if wiped:
             world.wipe(lost)
         else:
@@ -79,46 +86,52 @@
         if wiped:
             world.start(new)
         else:
-            world.add(new, seed % 4, seeds=[lost, *seeds_now])
+            world.add(new, seed % CORE, seeds=[lost, *seeds_now])
         began = world.now
-        while world.now - began < 20:
+        while world.now - began < REPLACEMENT_TIMEOUT:
             world.run(0.01)
             state = world.decided[max(world.decided)]
             core = world.machines[new].core
-            if core is not None and core.control.is_member() and len(state.members) == 4:
+            if core is not None and core.control.is_member() and len(state.members) == CORE:
                 break
-        took.append(world.now - began)
-    return took
+        times.append(world.now - began)
+    return times
 
 
-def rest() -> None:
-    world = founded(1)
-    kinds: Counter[str] = Counter()
+def print_cost_at_rest() -> None:
+    """Print how many messages of each kind a member sends to other members in a second, and their bytes."""
+    world = settled_world(1)
+    members = {f"d{n}" for n in range(1, CORE + 1)}
+    messages: Counter[str] = Counter()
     size: Counter[str] = Counter()
     send = world.send
 
     def counted(source: str, to: str, message: Message) -> None:
-        if source in ("d1", "d2", "d3", "d4") and to in ("d1", "d2", "d3", "d4"):
-            kinds[codec.kind_of(message)] += 1
+        if source in members and to in members:
+            messages[codec.kind_of(message)] += 1
             size[codec.kind_of(message)] += len(codec.encode(message))
         send(source, to, message)
 
     world.send = counted  # type: ignore[method-assign]
-    world.run(20.0)
-    told = ", ".join(f"{kind} {kinds[kind] / 80:.1f}/s {size[kind] / 80:.0f} B/s" for kind in sorted(kinds))
-    print(f"at rest, a member to other members: {told}")
+    world.run(REST_TIME)
+    seconds = CORE * REST_TIME
+    rates = (
+        f"{kind} {messages[kind] / seconds:.1f}/s {size[kind] / seconds:.0f} B/s" for kind in sorted(messages)
+    )
+    print(f"at rest, a member to other members: {', '.join(rates)}")
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__)
+    """Print all figures."""
+    parser = argparse.ArgumentParser(description="Times of the control side on simulated time.")
     parser.add_argument("--seeds", type=int, default=40)
     seeds = parser.parse_args().seeds
-    line("an order at rest", orders(seeds, lost=False))
-    line("an order with a member lost", orders(seeds, lost=True))
-    line("an order among eight at once for a minute", storm(max(1, seeds // 10)))
-    line("an emptied disk until its seat", repair(seeds, wiped=True), "ms")
-    line("a successor until the core bears the next loss", repair(seeds, wiped=False), "ms")
-    rest()
+    print_times("a call at rest", single_calls(seeds, lost=False))
+    print_times("a call with a member lost", single_calls(seeds, lost=True))
+    print_times("a call among eight at once for a minute", concurrent_calls(max(1, seeds // 10)))
+    print_times("an emptied disk until it is a member again", replacement_times(seeds, wiped=True))
+    print_times("a replacement until it is a member", replacement_times(seeds, wiped=False))
+    print_cost_at_rest()
 
 
 if __name__ == "__main__":
--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -1,9 +1,9 @@
-"""Drawn days of the control side on simulated time, many at once; the numbers of those that fail are printed.
+"""Drawn days of the control side on simulated time, many at once; the seeds of those that fail are printed.
 
     PYTHONPATH=. python bench/fuzz.py [--first N] [--seeds N] [--jobs N]
     PYTHONPATH=. python bench/fuzz.py --play N [--shrink]
 
-A day is drawn from its number alone, so `--play` shows it again exactly.
+A day is drawn from its seed alone, so `--play` shows it again exactly.
 """
 
 from __future__ import annotations
@@ -12,48 +12,63 @@
 import multiprocessing
 import time
 import traceback
+from dataclasses import dataclass
 
 from tests.chaos import play
-from tests.chaos_days import Day, draw, shrink
+from tests.chaos_days import draw, shrink
 
+MAX_TRACE_LENGTH = 280  # characters of an error's trace that are printed
+MAX_BREACH_LENGTH = 300  # characters of a breach that are printed
 
-def judge(seed: int) -> tuple[int, list[str]]:
+
+@dataclass(frozen=True)
+class Verdict:
+    """The breaches of the day that a seed draws."""
+
+    seed: int
+    breaches: list[str]
+
+
+def judge(seed: int) -> Verdict:
+    """Play the day that a seed draws; an error that it raises is a breach, too."""
     try:
-        return seed, play(draw(seed)).breaches
-    except Exception:  # a fault of the program, too
-        return seed, [traceback.format_exc()[-280:]]
+        return Verdict(seed, play(draw(seed)).breaches)
+    except Exception:  # a fault of the program as well
+        return Verdict(seed, [traceback.format_exc()[-MAX_TRACE_LENGTH:]])
+
+
+def play_one(seed: int, shrinks: bool) -> None:
+    """Print a day and its breaches; `shrinks`: the smallest part of it that has any."""
+    day = draw(seed)
+    if shrinks:
+        day = shrink(day, lambda less: bool(play(less).breaches))
+    print(day)
+    print("\n".join(play(day).breaches) or "no fault")
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser()
+    """Play the days named on the command line."""
+    parser = argparse.ArgumentParser(description="Drawn days of the control side on simulated time.")
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--seeds", type=int, default=100)
     parser.add_argument("--jobs", type=int, default=1)
     parser.add_argument("--play", type=int)
     parser.add_argument("--shrink", action="store_true")
-    args = parser.parse_args()
-    if args.play is not None:
-        day = draw(args.play)
-        if args.shrink:
-            day = shrink(day, lambda less: bool(judge_day(less)))
-        print(day)
-        print("\n".join(judge_day(day)) or "no fault")
+    chosen = parser.parse_args()
+    if chosen.play is not None:
+        play_one(chosen.play, chosen.shrink)
         return 0
-    began, failed, played = time.monotonic(), [], 0
-    with multiprocessing.Pool(args.jobs) as pool:
-        for seed, breaches in pool.imap_unordered(judge, range(args.first, args.first + args.seeds)):
-            played += 1
-            if breaches:
-                failed.append(seed)
-                print(f"seed {seed}: {breaches[0][:300]}", flush=True)
-    took = time.monotonic() - began
-    print(f"{played} days of the control side in {took:.0f} s, {len(failed)} failed: {sorted(failed)}")
+    began, failed = time.monotonic(), []
+    seeds = range(chosen.first, chosen.first + chosen.seeds)
+    with multiprocessing.Pool(chosen.jobs) as pool:
+        for verdict in pool.imap_unordered(judge, seeds):
+            if verdict.breaches:
+                failed.append(verdict.seed)
+                print(f"seed {verdict.seed}: {verdict.breaches[0][:MAX_BREACH_LENGTH]}", flush=True)
+    seconds = time.monotonic() - began
+    print(f"{len(seeds)} days of the control side in {seconds:.0f} s, {len(failed)} failed: {sorted(failed)}")
     return 1 if failed else 0
 
 
-def judge_day(day: Day) -> list[str]:
-    return play(day).breaches
-
-
 if __name__ == "__main__":
     raise SystemExit(main())
