--- a/tests/soak.py
+++ b/tests/soak.py
@@ -78,7 +78,6 @@
         self.chance, self.settings = random.Random(seed), settings
         program = ("-m", "tests.cut_node", "serve")
         self.fleet = LocalFleet(folder, settings.core, settings.others, SERVERS, program, nth=settings.nth)
-        self.off_since: dict[str, float] = {}  # by the address of a node whose process has ended
         self.last_requests: list[float] = []  # seconds from each leave to the last request by a node in touch
         self.stand_ins = StandIns(self.fleet.platform, self.fleet.servers)
         self.background = BackgroundStandIns(self.stand_ins)
@@ -144,8 +143,8 @@
         reset = partial(self.background.loop.call_soon_threadsafe, self.stand_ins.reset_platform)
         lose_answers = partial(setattr, fleet.servers[n], "drops_answers")
         turns: dict[str, tuple[Turn, Turn]] = {
-            KILL: (partial(self.end, n, signal.SIGKILL), partial(self.start, n)),
-            AWAY: (partial(self.end, n, signal.SIGKILL), partial(self.start, n)),
+            KILL: (partial(fleet.kill, n), partial(fleet.start, n)),
+            AWAY: (partial(fleet.kill, n), partial(fleet.start, n)),
             ROLL: (partial(self.send_signal, n, signal.SIGTERM), partial(self.start_again, n)),
             RELOAD: (self.reload_all, self.reload_all),
             STOP: (
@@ -160,20 +159,10 @@
         }
         return turns[failure.kind]
 
-    def end(self, n: int, number: signal.Signals) -> None:
-        """End a node's process at once."""
-        self.fleet.kill(n, number)
-        self.off_since[self.fleet.ips[n]] = time.monotonic()
-
-    def start(self, n: int) -> None:
-        """Start a node's process that has ended."""
-        self.off_since.pop(self.fleet.ips[n], None)
-        self.fleet.start(n)
-
     def start_again(self, n: int) -> None:
         """Start a node anew whose process was told to end; it is killed where it is still at its last requests."""
-        self.end(n, signal.SIGKILL)
-        self.start(n)
+        self.fleet.kill(n)
+        self.fleet.start(n)
 
     def reload_all(self) -> None:
         """Send a series of SIGHUP to every node, with no time in between."""
