--- /dev/null
+++ b/bench/leaves.py
@@ -0,0 +1,143 @@
+"""Plays long days on which servers leave again and again among hundreds of changes and faults.
+
+    PYTHONPATH=. python bench/leaves.py FLEETBENCH SITE... [--days N] [--seed N] [--length S] [--jobs N] [--keep DIR]
+
+Each row of the table holds the longest time that a server's leave took to be in force, and the rules that broke.  The
+same seed draws the same days.  Exit code 0 where no rule was broken and every day was played, 1 otherwise.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import subprocess
+import sys
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from bench.drawn import Entry, written
+
+CHANGES = ("route", "weights", "timeout", "tenant", "quota", "topup", "idle")
+CHANGE_GAPS = (0.2, 0.7)  # seconds between two changes of the configuration
+LEAVE_GAPS = (3.0, 9.0)  # seconds between two times that servers leave
+FAULT_GAPS = (2.0, 8.0)  # seconds between the beginnings of two faults
+QUIET_END = 6.0  # seconds at a day's end without faults
+FIRST_FAULT = 5.0  # seconds of a day's start without faults
+
+LEAVES: tuple[Entry, ...] = (
+    {"kind": "scale_in", "share": 0.08},
+    {"kind": "scale_in", "share": 0.03},
+    {"kind": "release", "share": 0.12, "x": 1, "gap_s": 0.8},
+    {"kind": "replace_with_reuse", "share": 0.06, "how": "drain"},
+    {"kind": "scale_out", "share": 0.12, "gap_s": 2.0},
+)
+PLANNED_FAULTS: tuple[Entry, ...] = (
+    {"kind": "roll_term", "share": 0.08, "x": 2, "gap_s": 0.6},
+    {"kind": "roll_term", "share": 0.06, "x": 3, "gap_s": 0.3, "how": "remove"},
+    {"kind": "roll_term", "on": "core", "share": 0.5, "gap_s": 2.5},
+    {"kind": "replace_core", "x": 1.0, "how": "planned"},
+    {"kind": "hup", "share": 0.3, "gap_s": 1.0},
+)
+FAULTS: tuple[Entry, ...] = (
+    {"kind": "reset_conns", "count": 1, "x": 1.0, "how": "reader"},
+    {"kind": "reset_conns", "share": 1.0, "x": 1.0},
+    {"kind": "node_kill", "count": 1, "how": "reader"},
+    {"kind": "node_kill", "count": 1, "how": "reader power", "for_s": 20.0},
+    {"kind": "node_kill", "on": "core", "count": 1, "how": "power", "for_s": 25.0},
+    {"kind": "node_kill", "share": 0.15, "how": "power", "for_s": 25.0},
+    {"kind": "node_freeze", "count": 1, "how": "reader", "for_s": 3.0},
+    {"kind": "node_freeze", "share": 0.1, "for_s": 3.0},
+    {"kind": "node_slow", "count": 1, "how": "reader", "x": 6.0, "for_s": 4.0},
+    {"kind": "node_cut", "count": 1, "how": "reader", "for_s": 3.0},
+    {"kind": "node_cut", "share": 0.15, "for_s": 3.0},
+    {"kind": "core_cut", "count": 1, "for_s": 4.0},
+    {"kind": "ack_lost", "x": 0.7, "for_s": 5.0},
+    {"kind": "burst", "x": 2.0, "for_s": 5.0},
+    {"kind": "hot_tenant", "x": 8.0, "for_s": 6.0},
+    {"kind": "clock_step", "x": 2000.0, "share": 0.4, "for_s": 6.0},
+    {"kind": "clock_step", "x": 2000.0, "share": 0.4, "for_s": 6.0, "how": "back"},
+    {"kind": "disk_stall", "count": 1, "for_s": 4.0},
+)  # fmt: skip
+
+
+@dataclass(frozen=True)
+class Leaves:
+    """How a day went: `worst` and `median` are milliseconds from a leave to the last request, over its leaves."""
+
+    site: str
+    seed: int
+    wrong: str
+    median: float = 0.0
+    worst: float = 0.0
+
+
+def times(draw: random.Random, gaps: tuple[float, float], begin: float, end: float) -> Iterator[float]:
+    """Yield times from `begin` to `end`, apart by drawn gaps."""
+    at = begin + draw.uniform(*gaps)
+    while at < end:
+        yield round(at, 2)
+        at += draw.uniform(*gaps)
+
+
+def draw_day(seed: int, length: float) -> str:
+    """Return the text of the day that a seed draws."""
+    draw = random.Random(f"leaves {seed}")
+    plan = [
+        {"at": at, "kind": "config_change", "how": draw.choice(CHANGES)}
+        for at in times(draw, CHANGE_GAPS, 1.0, length - 2.0)
+    ]
+    plan += [{"at": at, **draw.choice(LEAVES)} for at in times(draw, LEAVE_GAPS, 0.0, length - 6.0)]
+    faults: list[Entry] = []
+    for at in times(draw, FAULT_GAPS, FIRST_FAULT, length - QUIET_END):
+        if draw.random() < len(PLANNED_FAULTS) / (len(PLANNED_FAULTS) + len(FAULTS)):
+            plan.append({"at": at, **draw.choice(PLANNED_FAULTS)})
+        else:
+            faults.append({"at": at, **draw.choice(FAULTS)})
+    return written(f"leaves-{seed}", seed, length, plan, faults)
+
+
+def play(bench: str, site: Path, seed: int, length: float, keep: Path) -> Leaves:
+    """Play a drawn day; its text, its report and its output are kept in a folder."""
+    stem = keep / f"{site.stem}-{seed}"
+    day, report = stem.with_suffix(".toml"), stem.with_suffix(".json")
+    day.write_text(draw_day(seed, length))
+    call = [bench, "run", str(site), str(day), "--log", "all", "--report", str(report)]
+    with stem.with_suffix(".log").open("w") as log:
+        subprocess.run([*call, "--why", f"servers that leave, {seed}"], stdout=log, stderr=log, check=False)
+    if not report.exists():
+        return Leaves(site.stem, seed, "not played")
+    told: dict[str, Any] = json.loads(report.read_text())
+    median, worst = told["times"]["leaving in force"] or (0.0, 0.0)
+    return Leaves(site.stem, seed, str(told["fault"] or told["breaks"] or ""), median, worst)
+
+
+def main() -> int:
+    """Play the days named on the command line."""
+    parser = argparse.ArgumentParser(description="Long days on which servers leave.")
+    parser.add_argument("bench", help="the bench's program")
+    parser.add_argument("sites", nargs="+", type=Path)
+    parser.add_argument("--days", type=int, default=4)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--length", type=float, default=90.0)
+    parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--keep", type=Path, required=True, help="folder for days, reports and output")
+    chosen = parser.parse_args()
+    chosen.keep.mkdir(parents=True, exist_ok=True)
+    tasks = [(site, chosen.seed + n) for n in range(chosen.days) for site in chosen.sites]
+    bad = 0
+    with ThreadPoolExecutor(chosen.jobs) as pool:
+        plays = pool.map(lambda task: play(chosen.bench, *task, chosen.length, chosen.keep), tasks)
+        for found in plays:
+            bad += bool(found.wrong)
+            row = f"{found.site:22s} {found.seed:6d} {found.median:7.0f} {found.worst:7.0f}  {found.wrong}"
+            print(row, flush=True)
+    print(f"{len(tasks)} days, {bad} with a rule broken or not played")
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
