--- a/bench/drawn.py
+++ b/bench/drawn.py
@@ -1,4 +1,4 @@
-"""Draws days from all troubles that the bench knows, some of them twice, and plays each; keeps those that broke a rule.
+"""Draws days from all kinds of faults that the bench knows, and plays each; keeps those that broke a rule.
 
     PYTHONPATH=. python bench/drawn.py FLEETBENCH SITE... [--days N] [--seed N] [--jobs N] [--keep DIR] [--charged]
 
@@ -15,12 +15,10 @@
 import tempfile
 import tomllib
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
-from bench.own import CLOSINGS, Play, bench_run
-
-Entry = dict[str, Any]
+from bench.plays import CLOSINGS, Entry, Play, day_text, play_day
 
 RETURNS = (
     "",
@@ -108,72 +106,67 @@
 }  # fmt: skip
 
 
-def figure(chance: random.Random, least: float, most: float) -> float:
-    """A figure from a range; a whole one where both ends are."""
+def draw_figure(chance: random.Random, least: float, most: float) -> float:
+    """Return a figure from a range; a whole one where both ends are."""
     if isinstance(least, int) and isinstance(most, int):
         return chance.randint(least, most)
     return round(chance.uniform(least, most), 2)
 
 
-def entry(chance: random.Random, kind: str, planned: bool, last: float) -> Entry:
-    """One trouble at some moment up to `last`, seconds from the start of traffic."""
-    figures, words = (PLANNED if planned else FAULTS)[kind]
-    made: Entry = {"at": round(chance.uniform(1.0, last), 2), "kind": kind.split()[0]}
+def draw_entry(chance: random.Random, kind: str, planned: bool, last: float) -> Entry:
+    """Return planned work or a fault of a kind, at some moment up to `last`, in seconds from the start of traffic."""
+    ranges, words = (PLANNED if planned else FAULTS)[kind]
+    entry: Entry = {"at": round(chance.uniform(1.0, last), 2), "kind": kind.split()[0]}
     if kind.endswith(" core"):
-        made["on"] = "core"
-    made |= {name: figure(chance, *ends) for name, ends in figures.items()}
+        entry["on"] = "core"
+    entry |= {name: draw_figure(chance, *ends) for name, ends in ranges.items()}
     how = " ".join(filter(None, (chance.choice(word) for word in words)))
-    return {**made, "how": how} if how else made
+    return {**entry, "how": how} if how else entry
 
 
 def kinds_of(bench: str, site: Path) -> set[str]:
-    """The kinds that the bench plays on a site."""
-    told = subprocess.run([bench, "kinds", str(site)], capture_output=True, text=True, check=True).stdout
-    return set(re.findall(r"^([a-z_]+):", told, re.MULTILINE))
-
-
-def draw(chance: random.Random, length: float, known: set[str]) -> tuple[list[Entry], list[Entry]]:
-    """The planned work and the faults of a day: two to five of each, any of them also twice."""
-    found = []
-    for table, planned in ((PLANNED, True), (FAULTS, False)):
-        kinds = [kind for kind in table if kind.split()[0] in known]
-        chosen = chance.choices(kinds, k=chance.randint(2, 5))
-        if chance.random() < 0.4:
-            chosen.append(chosen[0])
-        found.append([entry(chance, kind, planned, 0.85 * length) for kind in chosen])
-    return found[0], found[1]
-
-
-def row(made: Entry) -> str:
-    return (
-        "  { "
-        + ", ".join(f'{k} = "{v}"' if isinstance(v, str) else f"{k} = {v}" for k, v in made.items())
-        + " },"
-    )
+    """Return the kinds that the bench plays on a site."""
+    printed = subprocess.run([bench, "kinds", str(site)], capture_output=True, text=True, check=True).stdout
+    return set(re.findall(r"^([a-z_]+):", printed, re.MULTILINE))
+
 
+def draw_entries(chance: random.Random, planned: bool, length: float, known: set[str]) -> list[Entry]:
+    """Return two to five entries of a day, of kinds that the bench knows, any of them also twice."""
+    kinds = [kind for kind in (PLANNED if planned else FAULTS) if kind.split()[0] in known]
+    chosen = chance.choices(kinds, k=chance.randint(2, 5))
+    if chance.random() < 0.4:
+        chosen.append(chosen[0])
+    return [draw_entry(chance, kind, planned, 0.85 * length) for kind in chosen]
 
-def written(name: str, seed: int, length: float, plan: list[Entry], faults: list[Entry]) -> str:
-    """A day as the bench reads it."""
-    lines = ["[[day]]", f'name = "{name}"', 'slot = "trouble"', f"seed = {seed}", f"length_s = {length:.1f}"]
-    for part, entries in (("plan", plan), ("faults", faults)):
-        lines += [f"{part} = [", *map(row, sorted(entries, key=lambda made: made["at"])), "]"]
-    return "\n".join(lines) + "\n"
 
+@dataclass(frozen=True)
+class Task:
+    """A day to draw by a seed and to play on a site; `day` is the file that it is written to."""
 
-def play(bench: str, site: Path, seed: int, keep: Path, charged: bool, known: set[str]) -> tuple[Play, Path]:
-    chance = random.Random(seed)
-    usual = tomllib.loads(site.read_text())["length_s"]
+    site: Path
+    seed: int
+    day: Path
+    known: set[str]  # kinds that the bench plays there
+
+
+def play(bench: str, task: Task, charged: bool) -> Play:
+    """Draw a day and play it; `charged`: processor time counts."""
+    chance = random.Random(task.seed)
+    usual = tomllib.loads(task.site.read_text())["length_s"]
     length = usual * chance.choice((1, 1, 1, 2))
-    plan, faults = draw(chance, length, known)
+    plan = draw_entries(chance, True, length, task.known)
+    faults = draw_entries(chance, False, length, task.known)
     closing = chance.choice(list(CLOSINGS))
-    day = keep / f"{site.stem}-{seed}.toml"
-    day.write_text(written(f"drawn-{seed}", seed, length, plan, faults) + CLOSINGS[closing])
-    why = f"a drawn day, seed {seed}, closing {closing}" + (", processor time charged" if charged else "")
-    return bench_run(bench, site, day, closing, why, [] if charged else ["--no-cpu"]), day
+    task.day.write_text(day_text(f"drawn-{task.seed}", task.seed, length, plan, faults, closing))
+    why = f"a drawn day, seed {task.seed}, closing {closing}" + (
+        ", processor time charged" if charged else ""
+    )
+    return play_day(bench, task.site, task.day, closing, why, [] if charged else ["--no-cpu"])
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(description="Days drawn from all troubles.")
+    """Draw and play the days named on the command line."""
+    parser = argparse.ArgumentParser(description="Days drawn from all kinds of faults.")
     parser.add_argument("bench", help="the bench's program")
     parser.add_argument("sites", nargs="+", type=Path)
     parser.add_argument("--days", type=int, default=10, help="on each site")
@@ -185,20 +178,21 @@
     with tempfile.TemporaryDirectory() as folder, ThreadPoolExecutor(chosen.jobs) as pool:
         keep = chosen.keep or Path(folder)
         keep.mkdir(parents=True, exist_ok=True)
-        tasks = [(site, chosen.seed + n) for n in range(chosen.days) for site in chosen.sites]
-        bad = 0
         known = {site: kinds_of(chosen.bench, site) for site in chosen.sites}
-        plays = [
-            pool.submit(play, chosen.bench, site, seed, keep, chosen.charged, known[site])
-            for site, seed in tasks
+        tasks = [
+            Task(site, seed, keep / f"{site.stem}-{seed}.toml", known[site])
+            for seed in range(chosen.seed, chosen.seed + chosen.days)
+            for site in chosen.sites
         ]
-        for found, day in (each.result() for each in plays):
-            print(f"{day.stem:32s} {found.closing:15s} {found.worth:.3f}  {found.wrong}", flush=True)
-            bad += bool(found.wrong)
-            if not found.wrong:
-                day.unlink()
-    print(f"{len(tasks)} days, {bad} with a rule broken or not played")
-    return 1 if bad else 0
+        wrong = 0
+        results = pool.map(lambda task: play(chosen.bench, task, chosen.charged), tasks)
+        for task, result in zip(tasks, results, strict=True):
+            print(f"{task.day.stem:32s} {result.closing:15s} {result.worth:.3f}  {result.wrong}", flush=True)
+            wrong += bool(result.wrong)
+            if not result.wrong:
+                task.day.unlink()
+    print(f"{len(tasks)} days, {wrong} with a rule broken or not played")
+    return 1 if wrong else 0
 
 
 if __name__ == "__main__":
--- a/bench/leaves.py
+++ b/bench/leaves.py
@@ -2,24 +2,21 @@
 
     PYTHONPATH=. python bench/leaves.py FLEETBENCH SITE... [--days N] [--seed N] [--length S] [--jobs N] [--keep DIR]
 
-Each row of the table holds the longest time that a server's leave took to be in force, and the rules that broke.  The
-same seed draws the same days.  Exit code 0 where no rule was broken and every day was played, 1 otherwise.
+Each row of the table holds the median and the longest time, in ms, from a server's leave to its last request, and the
+rules that broke.  The same seed draws the same days.  Exit code 0 where no rule was broken and every day was played, 1
+otherwise.
 """
 
 from __future__ import annotations
 
 import argparse
-import json
 import random
-import subprocess
 import sys
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
-from bench.drawn import Entry, written
+from bench.plays import NO_CLOSING, Entry, Play, day_text, play_day
 
 CHANGES = ("route", "weights", "timeout", "tenant", "quota", "topup", "idle")
 CHANGE_GAPS = (0.2, 0.7)  # seconds between two changes of the configuration
@@ -64,17 +61,6 @@
 )  # fmt: skip
 
 
-@dataclass(frozen=True)
-class Leaves:
-    """How a day went: `worst` and `median` are milliseconds from a leave to the last request, over its leaves."""
-
-    site: str
-    seed: int
-    wrong: str
-    median: float = 0.0
-    worst: float = 0.0
-
-
 def times(draw: random.Random, gaps: tuple[float, float], begin: float, end: float) -> Iterator[float]:
     """Yield times from `begin` to `end`, apart by drawn gaps."""
     at = begin + draw.uniform(*gaps)
@@ -97,22 +83,16 @@
             plan.append({"at": at, **draw.choice(PLANNED_FAULTS)})
         else:
             faults.append({"at": at, **draw.choice(FAULTS)})
-    return written(f"leaves-{seed}", seed, length, plan, faults)
+    return day_text(f"leaves-{seed}", seed, length, plan, faults)
 
 
-def play(bench: str, site: Path, seed: int, length: float, keep: Path) -> Leaves:
-    """Play a drawn day; its text, its report and its output are kept in a folder."""
+def play(bench: str, site: Path, seed: int, length: float, keep: Path) -> Play:
+    """Play a drawn day; its text and what the bench prints are kept in a folder."""
     stem = keep / f"{site.stem}-{seed}"
-    day, report = stem.with_suffix(".toml"), stem.with_suffix(".json")
+    day = stem.with_suffix(".toml")
     day.write_text(draw_day(seed, length))
-    call = [bench, "run", str(site), str(day), "--log", "all", "--report", str(report)]
-    with stem.with_suffix(".log").open("w") as log:
-        subprocess.run([*call, "--why", f"servers that leave, {seed}"], stdout=log, stderr=log, check=False)
-    if not report.exists():
-        return Leaves(site.stem, seed, "not played")
-    told: dict[str, Any] = json.loads(report.read_text())
-    median, worst = told["times"]["leaving in force"] or (0.0, 0.0)
-    return Leaves(site.stem, seed, str(told["fault"] or told["breaks"] or ""), median, worst)
+    why = f"servers that leave, {seed}"
+    return play_day(bench, site, day, NO_CLOSING, why, ["--log", "all"], stem.with_suffix(".log"))
 
 
 def main() -> int:
@@ -128,15 +108,15 @@
     chosen = parser.parse_args()
     chosen.keep.mkdir(parents=True, exist_ok=True)
     tasks = [(site, chosen.seed + n) for n in range(chosen.days) for site in chosen.sites]
-    bad = 0
+    wrong = 0
     with ThreadPoolExecutor(chosen.jobs) as pool:
         plays = pool.map(lambda task: play(chosen.bench, task[0], task[1], chosen.length, chosen.keep), tasks)
-        for found in plays:
-            bad += bool(found.wrong)
-            row = f"{found.site:22s} {found.seed:6d} {found.median:7.0f} {found.worst:7.0f}  {found.wrong}"
-            print(row, flush=True)
-    print(f"{len(tasks)} days, {bad} with a rule broken or not played")
-    return 1 if bad else 0
+        for (_, seed), result in zip(tasks, plays, strict=True):
+            wrong += bool(result.wrong)
+            spread = f"{result.leave_median:7.0f} {result.leave_worst:7.0f}"
+            print(f"{result.site:22s} {seed:6d} {spread}  {result.wrong}", flush=True)
+    print(f"{len(tasks)} days, {wrong} with a rule broken or not played")
+    return 1 if wrong else 0
 
 
 if __name__ == "__main__":
