--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -198,7 +198,7 @@
         self.servers.append(Server(f"i-{number}", service, address, zone, self.record, **more))
         return self.servers[-1]
 
-    def settings(self, node: int) -> str:
+    def settings(self, node: int, first: bool) -> str:
         """Return the settings file of a node."""
         ip, zone = self.ips[node], self.zones[node]
         disk = node < self.core
@@ -206,7 +206,7 @@
             f"thisDoor.nodeName=edge-{zone}-{node}", "thisDoor.role=door", "thisDoor.machineClass=edge",
             "thisDoor.servesRoles=edge,control_plane,address_directory", f"thisDoor.internetAddress={ip}",
             f"thisDoor.zone={zone}", f"thisDoor.answerRegion={ZONES[zone]}",
-            f"thisDoor.lossCounted={str(disk).lower()}", "thisDoor.firstStart=true",
+            f"thisDoor.lossCounted={str(disk).lower()}", f"thisDoor.firstStart={str(first).lower()}",
             f"thisDoor.dataDirectory={self.folder / str(node) if disk else ''}",
             "thisDoor.limits.memoryMb=300", "thisDoor.limits.fileDescriptors=4100",
             "thisDoor.limits.linkMbps=1000.0",
@@ -229,23 +229,10 @@
     async def start(self, configuration: bytes) -> None:
         """Start the stand-ins and all nodes, send the first configuration, and wait until all are ready."""
         await self.start_stand_ins()
-        environment = {
-            name: value for name, value in os.environ.items() if name in ("PATH", "HOME", "JAVA_HOME", "LANG")
-        }
-        environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         for node in range(len(self.ips)):
             if node < self.core:
                 (self.folder / str(node)).mkdir()
-            path = self.folder / f"{node}.conf"
-            path.write_text(self.settings(node))
-            log = (self.folder / f"{node}.log").open("wb")
-            self.processes[node] = subprocess.Popen(
-                deploy_command(),
-                cwd=ROOT,
-                env={**environment, "HAZELSPRING_SETTINGS": str(path)},
-                stdout=log,
-                stderr=log,
-            )
+            self.start_node(node, first=True)
         end = time.monotonic() + START_PATIENCE
         while (await self.operator("PUT", "/-/configuration", configuration, [0, 1, 2]))[0] != 200:
             if time.monotonic() > end:
@@ -257,6 +244,47 @@
                 await asyncio.sleep(0.1)
         self.record.write("all nodes are ready")
 
+    def start_node(self, node: int, first: bool) -> None:
+        """Start a node's process with the command and the variables of the deploy page."""
+        environment = {
+            name: value for name, value in os.environ.items() if name in ("PATH", "HOME", "JAVA_HOME", "LANG")
+        }
+        environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
+        path = self.folder / f"{node}.conf"
+        path.write_text(self.settings(node, first))
+        with (self.folder / f"{node}.log").open("ab") as log:
+            self.processes[node] = subprocess.Popen(
+                deploy_command(),
+                cwd=ROOT,
+                env={**environment, "HAZELSPRING_SETTINGS": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    async def kill_and_restart(self, nodes: list[int], watch_s: float) -> int:
+        """Kill nodes at the same moment, start them again, and return how often they end by themselves.
+
+        A process that has ended is started again after half a second, until `watch_s` seconds have passed.
+        """
+        for node in nodes:
+            self.signal(node, signal.SIGKILL)
+        for node in nodes:
+            self.processes[node].wait()
+        await asyncio.sleep(0.5)
+        for node in nodes:
+            self.start_node(node, first=False)
+        ends, end = 0, time.monotonic() + watch_s
+        while time.monotonic() < end:
+            await asyncio.sleep(0.5)
+            for node in nodes:
+                if (status := self.processes[node].poll()) is not None:
+                    self.record.write(
+                        f"node {node} ended by itself with status {status}, and is started again"
+                    )
+                    ends += 1
+                    self.start_node(node, first=False)
+        return ends
+
     async def start_stand_ins(self) -> None:
         """Listen at the addresses of the platform and the servers."""
         for server in self.servers:
