--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -108,6 +108,7 @@
     record: Record
     slots: int = 3
     work_s: float = 0.03
+    padding: int = 0  # bytes to which its answers are filled up
     before_answer: Work | None = None
     apart: bool = False  # it runs as a process of its own, and is only listed here
     runs: list[Run] = field(default_factory=list)
@@ -149,7 +150,7 @@
             await asyncio.sleep(self.work_s)
         finally:
             self.running -= 1
-        return 200, self.seal(attempt), f"{self.id} {attempt}\n".encode()
+        return 200, self.seal(attempt), f"{self.id} {attempt}\n".encode().ljust(self.padding, b".")
 
     def seal(self, attempt: str) -> dict[str, str]:
         """Return the headers of an answer."""
