--- a/review/common_2/lab.py
+++ b/review/common_2/lab.py
@@ -363,9 +363,12 @@
             door.process.wait(10)
             door.process = None
 
-    async def start(self, configuration: bytes) -> None:
-        """Start the stand-ins and all doors, send the first configuration, and wait until all are ready."""
-        for server in self.servers:
+    async def start(self, configuration: bytes, listen: bool = True) -> None:
+        """Start the stand-ins and all doors, send the first configuration, and wait until all are ready.
+
+        `listen` is False if the case has the servers listen itself.
+        """
+        for server in self.servers if listen else ():
             await self.listen(server.address, server.handle)
         self.spawn(self.platform.keep())
         await asyncio.sleep(0.05)
