--- a/review/common_2/lab.py
+++ b/review/common_2/lab.py
@@ -568,10 +568,11 @@
     """Run a case; return 1 if the rule was broken, 0 if it held, and 2 if the case could not run."""
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that the case ends its processes then, too
     try:
         broken = asyncio.run(case(record, trouble))
-    except CannotRunError as error:
-        record.write(f"cannot run: {error}", show=True)
+    except (Exception, KeyboardInterrupt) as error:  # an error of the case itself says nothing of the rule
+        record.write(f"cannot run: {type(error).__name__}: {error}", show=True)
         return 2
     finally:
         record.file.flush()
