--- a/review/common_2/lab.py
+++ b/review/common_2/lab.py
@@ -278,6 +278,7 @@
             Door(f"edge-{zone}-{number}", f"{self.net}.{number}", zone, disk)
             for number, (zone, disk) in enumerate(layout, 1)
         ]
+        self.seeds: list[Door] = []  # of the settings; empty for the first three with a disk
         self.platform = Platform(self, f"{self.net}.200:{self.platform_port}")
         self.servers: list[Server] = []
         self.tasks: set[asyncio.Task[None]] = set()
@@ -294,7 +295,7 @@
     def settings(self, door: Door, first: bool) -> dict[str, str]:
         """Return the settings of a door, with the fields that `fleetbench wire` shows."""
         ip = door.ip
-        serving = [each for each in self.doors if each.disk][:3]
+        serving = self.seeds or [each for each in self.doors if each.disk][:3]
         return {
             "thisDoor.nodeName": door.name,
             "thisDoor.role": "door",
