An order that was overtaken, or whose caller has left, is not carried out later

What callers saw: the end of an evacuation was given to a node that stood still, then to another one, which acknowledged it; the zone was evacuated again, acknowledged.

Cause: a proposal was applied to whatever state was in force when its round came, for 3 s, and a caller that had closed its connection made no difference. Nodes that are cut off did the same, forwarded orders undid one that changed nothing, and `DELETE /-/core` removed a member that had joined anew.

Replaced tests: a forwarded evacuation is valid for one version instead of two, as two undo an order that changed nothing; configurations stay at two, and the test says both. Seeded plays and digests were recorded anew, as each evacuation now makes a version; the messages and answers recorded before stay, must decode to the same bytes and are answered as before.

--- a/hazelspring/consensus/forwarding.py
+++ b/hazelspring/consensus/forwarding.py
@@ -15,8 +15,7 @@
 
 # Seconds for which a node keeps a proposal that another node forwarded to it.
 FORWARDED_LIFETIME = 1.0
-# Successive versions to which a forwarded proposal may be applied: the one decided at the sender, and the next.  With
-# three, a proposal that arrives late could undo a later change (see ForwardedProposal).
+# Successive versions to which a forwarded configuration may be applied: the one decided at the sender, and the next.
 VALID_VERSIONS = 2
 # Nodes to which a node forwards its proposals while one version is in force.
 MAX_RECIPIENTS = 2
@@ -36,6 +35,7 @@
         proposal.token != 0
         and proposal.kind in FORWARDABLE_KINDS
         and state.version > 0
+        and proposal.may_be_applied_to(state)
         and proposal.apply(state) is not state
     )
 
@@ -56,10 +56,9 @@
 class ForwardedProposal(Proposal):
     """A proposal that another node has forwarded; no caller at this node waits for its outcome.
 
-    It may be applied to the version V (`valid_from_version`) and to V+1 only, so that a duplicate or a late
-    message cannot undo a later change.  The proposal comes into force in V+1 or V+2.  A change that undoes
-    it is then either decided at V+2 with the base V+1, on which a duplicate changes nothing, or at a higher
-    version.  A duplicate cannot be applied to V+2 and above.
+    A configuration may be applied to the version V (`valid_from_version`) and to V+1.  Any other order may be
+    applied to V only, at which its caller waited for it: an order that undoes it makes a version above V
+    before it is confirmed, so that a duplicate or a late message cannot be carried out after it.
 
     Attributes
     ----------
@@ -74,7 +73,11 @@
 
     def is_valid_for(self, state: ControlState) -> bool:
         """Return whether the proposal may be applied to a state."""
-        return 0 <= state.version - self.valid_from_version < VALID_VERSIONS
+        return 0 <= state.version - self.valid_from_version < self.valid_versions()
+
+    def valid_versions(self) -> int:
+        """Return to how many successive versions the proposal may be applied."""
+        return 1 if self.needs_binding() else VALID_VERSIONS
 
     def apply(self, state: ControlState) -> ControlState:
         """Return `state` with this proposal applied, or `state` itself if it is not valid for it."""
@@ -151,7 +154,7 @@
             proposal
             for proposal in self.proposals
             if now - proposal.started_at <= FORWARDED_LIFETIME
-            and version < proposal.valid_from_version + VALID_VERSIONS
+            and version < proposal.valid_from_version + proposal.valid_versions()
         ]
 
     def pop_waiting(self, state: ControlState) -> list[tuple[str, KnownConfiguration]]:
--- a/hazelspring/consensus/outcomes.py
+++ b/hazelspring/consensus/outcomes.py
@@ -8,6 +8,8 @@
 from hazelspring.consensus.control_state import NO_CONFIGURATION, ControlState
 from hazelspring.consensus.proposal import Proposal, ProposalKind, ProposalOutcome
 
+OVERTAKEN = "a later change came first"
+
 
 def outcome_of(
     proposal: Proposal, state: ControlState, acceptor: Acceptor, is_confirmed: Callable[[Proposal], bool]
@@ -28,8 +30,9 @@
     if proposal.kind == ProposalKind.RESOLVE:
         is_settled = acceptor.pending is None
         return ProposalOutcome(proposal.token, True, state=state) if is_settled else None
-    if proposal.apply(state) is not state:
-        return None
+    if proposal.apply(state) is not state or lacks_new_version(proposal, state):
+        is_lost = proposal.is_overtaken_at(state)
+        return ProposalOutcome(proposal.token, False, OVERTAKEN) if is_lost else None
     # Once the proposed configuration or one with a higher number is in force, this remains so, whichever
     # node reports it.  Any other effect may have been undone by a state that is not known here yet, even
     # before the proposal was submitted.  The effect was in force after the submission if the state known
@@ -55,3 +58,10 @@
         return ProposalOutcome(proposal.token, False, reason, state=state)
     configuration = acceptor.current_configuration()
     return ProposalOutcome(proposal.token, True, state=state, configuration=configuration)
+
+
+def lacks_new_version(proposal: Proposal, state: ControlState) -> bool:
+    """Return whether a proposal waits for a version above the one that was the newest after its submission."""
+    if not proposal.needs_new_version():
+        return False
+    return not proposal.confirmed or state.version <= proposal.confirmed_version
--- a/hazelspring/consensus/proposal.py
+++ b/hazelspring/consensus/proposal.py
@@ -57,9 +57,15 @@
         the number of members left.  Such a removal identifies the member by its address alone.
     base_version
         Version of the decided state that this node knew when the proposal was submitted.
+    bound_version
+        The only version to which the proposal may be applied; None if it may be applied to any.  An order
+        that a later one can undo is bound while its caller waits (:meth:`needs_binding`), so that it is not
+        carried out once a later order is in force.
     confirmed
         Whether the state known here was the newest decided one at some time after the proposal was
         submitted.
+    confirmed_version
+        The version of that state, when it was first known to be the newest.
     """
 
     token: int
@@ -74,7 +80,33 @@
     grows_core: bool = False
     by_operator: bool = False
     base_version: int = -1
+    bound_version: int | None = None
     confirmed: bool = False
+    confirmed_version: int = -1
+
+    def needs_binding(self) -> bool:
+        """Return whether the proposal may be applied only to a version that was known while its caller waited.
+
+        This holds for operators' orders that another order can undo.  A configuration needs no binding, as
+        only a higher number replaces it.
+        """
+        return self.kind == ProposalKind.SET_EVACUATION or self.by_operator
+
+    def needs_new_version(self) -> bool:
+        """Return whether the proposal is confirmed only by a version above the one that was in force before it.
+
+        An evacuation, or its end, that is in force already makes a new version as well: earlier orders for
+        the zone, which may still be under way, are bound to the version before and so are overtaken.
+        """
+        return self.kind == ProposalKind.SET_EVACUATION
+
+    def may_be_applied_to(self, state: ControlState) -> bool:
+        """Return whether the proposal is not bound to another version than that of a state."""
+        return self.bound_version in (None, state.version)
+
+    def is_overtaken_at(self, state: ControlState) -> bool:
+        """Return whether the proposal can be applied neither to a state nor to any later one."""
+        return self.bound_version is not None and self.bound_version < state.version
 
     def apply(self, state: ControlState) -> ControlState:
         """Return `state` with this proposal applied; `state` itself if nothing is to change.
@@ -174,7 +206,7 @@
         The proposal's token.
     succeeded
         Whether the proposal may be acknowledged.  If it did not succeed and `conflict` is false, it may
-        still be carried out later.
+        have been carried out, or be carried out by a round that is under way.
     reason
         Why it did not succeed, for the operator.
     conflict
--- a/hazelspring/consensus/proposer.py
+++ b/hazelspring/consensus/proposer.py
@@ -50,6 +50,9 @@
 # Seconds after which a proposal fails.  Its caller's time-out for this node is shorter; the caller then
 # sends the proposal again to any node.
 PROPOSAL_TIMEOUT = 3.0
+# Seconds after the submission of an operator's order within which it is bound to a newer version.  The caller still
+# waits then: it calls another node after a second of silence, which may confirm the order and later ones.
+BINDING_TIME = 0.9
 # Seconds within which answers of members may settle a proposal that changes nothing, before a round begins
 # for it.
 NO_CHANGE_GRACE = 0.3
@@ -105,15 +108,28 @@
     def submit(self, proposal: Proposal) -> None:
         """Add a proposal of this node, and record in it the decided version that the node knows now."""
         proposal.base_version = self.acceptor.version
+        if proposal.needs_binding():
+            proposal.bound_version = self.acceptor.version
         self.proposals.append(proposal)
 
+    def withdraw(self, token: int) -> None:
+        """Remove a proposal whose caller has gone; only a round that has proposed it already carries it out."""
+        self.proposals = [proposal for proposal in self.proposals if proposal.token != token]
+
+    def bind_to_new_state(self, now: float) -> None:
+        """Bind the orders whose callers still wait to the newest decided version; the others are overtaken."""
+        for index, proposal in enumerate(self.proposals):
+            if proposal.needs_binding() and now - proposal.started_at <= BINDING_TIME:
+                self.proposals[index] = replace(proposal, bound_version=self.acceptor.version)
+
     def on_new_state(self, now: float) -> None:
-        """End the back-off, as a newer decided state means that the competing round has ended.
+        """Bind open orders to a newer decided state, and end the back-off, as the competing round has ended.
 
         If this node's rounds competed with another one, the proposals that are still open are forwarded
         to the node that decided the new state, as its next round begins at once.  This node then begins a
         round of its own only if they are not carried out within `FORWARDING_GRACE` and its random part.
         """
+        self.bind_to_new_state(now)
         competed = self.failed_rounds > 0 or bool(self.forwarder.tokens_by_node)
         self.failed_rounds, self.backoff_until = 0, LONG_AGO
         decided = self.acceptor.decided
@@ -158,7 +174,8 @@
         state, ended = self.acceptor.state, []
         for proposal in list(self.proposals):
             if state is not None and state.version > 0 and not proposal.confirmed and is_confirmed(proposal):
-                self.proposals[self.proposals.index(proposal)] = proposal = replace(proposal, confirmed=True)
+                confirmed = replace(proposal, confirmed=True, confirmed_version=state.version)
+                self.proposals[self.proposals.index(proposal)] = proposal = confirmed
             if (
                 state is not None
                 and state.version > 0
@@ -228,12 +245,16 @@
 
         A proposal that changes nothing gets one only after `NO_CHANGE_GRACE`.
         """
+        if not proposal.may_be_applied_to(state):
+            return False
         if proposal.kind == ProposalKind.RESOLVE or proposal.apply(state) is not state:
             return True
+        if proposal.needs_new_version() and state.version > 0:
+            return True
         return state.version > 0 and now - proposal.started_at > NO_CHANGE_GRACE
 
     def next_state(self, base: ControlState) -> ControlState:
-        """Return `base` with all open proposals applied, or `base` itself if nothing is to change.
+        """Return `base` with all open proposals applied, or `base` itself if no new version is needed.
 
         Forwarded proposals are applied before this node's own.  At most one proposal changes the members, as one
         version may change them only once.
@@ -241,13 +262,15 @@
         state, members_changed = base, False
         for forwarded in self.received_proposals.applicable(base):
             state = forwarded.apply(state)
-        for proposal in self.proposals:
+        own = [proposal for proposal in self.proposals if proposal.may_be_applied_to(base)]
+        for proposal in own:
             if proposal.changes_members():
                 if members_changed:
                     continue
                 members_changed = proposal.apply(state) is not state
             state = proposal.apply(state)
-        if state is base:
+        needs_new_version = base.version > 0 and any(proposal.needs_new_version() for proposal in own)
+        if state is base and not needs_new_version:
             return base
         return replace(state, version=base.version + 1, previous_members=base.members)
 
@@ -389,6 +412,8 @@
             self.acceptor.compute_delta(
                 current.base.configuration_digest, target.configuration_digest, compressed
             )
+        if found.version <= current.base.version:
+            current.proposed_tokens = frozenset(proposal.token for proposal in self.proposals)
         current.start_accept_phase(now, target)
 
     def can_reach_majority(self, now: float, current: Round, target: ControlState) -> bool:
@@ -509,4 +534,12 @@
             self.abandon_round()
         self.round, self.failed_rounds = None, 0
         self.confirmed_since = max(self.confirmed_since, current.started_at)
+        self.confirm_proposed(current)
         return current.ballot, current.value, current.configurations.get(current.value.configuration_digest)
+
+    def confirm_proposed(self, decided: Round) -> None:
+        """Record for the proposals of a round that its base was the newest decided state until it succeeded."""
+        for index, proposal in enumerate(self.proposals):
+            if proposal.token in decided.proposed_tokens and not proposal.confirmed:
+                base_version = decided.base.version
+                self.proposals[index] = replace(proposal, confirmed=True, confirmed_version=base_version)
--- a/hazelspring/consensus/round.py
+++ b/hazelspring/consensus/round.py
@@ -35,6 +35,8 @@
     # Compressed configurations by digest: those that came with promises, and that of `value`.
     configurations: dict[bytes, bytes] = field(default_factory=dict)
     value: ControlState | None = None  # the state to accept in the second phase; None in the first phase
+    # Tokens of the proposer's own proposals from which `value` was made; empty if it completes another round.
+    proposed_tokens: frozenset[int] = frozenset()
     started_at: float = 0.0
     phase_started_at: float = 0.0
     without_deltas: bool = False  # a configuration was missing: deltas are no longer requested
--- a/hazelspring/daemon/http_api.py
+++ b/hazelspring/daemon/http_api.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import json
+import select
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from typing import Any, Protocol, cast
 from urllib.parse import parse_qs
@@ -14,7 +15,7 @@
 from hazelspring.configuration.blocks import unpack
 from hazelspring.configuration.validation import InvalidConfigurationError
 from hazelspring.daemon.client_listener import FinalAnswer, encode
-from hazelspring.daemon.operator_calls import CommandResult, OperatorCalls
+from hazelspring.daemon.operator_calls import Caller, CommandResult, OperatorCalls
 from hazelspring.daemon.structured_log import log
 from hazelspring.gateway.client_connection import BadRequest, Client, Exchange, Listener
 from hazelspring.gateway.config import Address
@@ -71,6 +72,7 @@
 class ApiCall:
     """One call: `arguments` are the path segments after the name of the resource."""
 
+    caller: Caller
     method: str
     arguments: list[str]
     query: str
@@ -125,7 +127,27 @@
             raise BadRequest("malformed target") from None
         path, query = (url.path or b"/").decode("latin-1"), (url.query or b"").decode("latin-1")
         segments = [part for part in path.split("/") if part]
-        api.dispatch(self.parser.get_method().decode(), segments, query, b"".join(self.body), exchange.reply)
+        method, body = self.parser.get_method().decode(), b"".join(self.body)
+        api.dispatch(segments, ApiCall(self, method, [], query, body, exchange.reply))
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Withdraw the open commands of the caller."""
+        super().connection_lost(error)
+        cast(HttpApi, self.server).node.operator_calls.withdraw_abandoned()
+
+    def has_left(self) -> bool:
+        """Return whether the connection has ended, or its other end was closed.
+
+        The end of a connection is read after all that arrived before it, so the socket is asked.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return True
+        sock = self.transport.get_extra_info("socket")
+        if sock is None:
+            return False
+        poller = select.poll()
+        poller.register(sock.fileno(), select.POLLRDHUP)
+        return bool(poller.poll(0))
 
 
 class HttpApi(Listener):
@@ -147,24 +169,27 @@
         return self.node.counts
 
     def on_client_disconnected(self, request: OpenRequest) -> None:
-        """Ignore that a caller has disconnected: its command continues, and the caller may send it again."""
+        """Do nothing: `ApiConnection.connection_lost` withdraws the commands of a caller that has left."""
 
     def on_body_complete(self, request: OpenRequest) -> None:
         """Ignore the end of a body: `ApiConnection.take` dispatches a call with its complete body."""
 
-    def dispatch(self, method: str, segments: list[str], query: str, body: bytes, reply: Reply) -> None:
-        """Answer a call: 404 for an unknown path, 405 for a call that this address does not answer."""
+    def dispatch(self, segments: list[str], call: ApiCall) -> None:
+        """Answer a call: 404 for an unknown path, 405 for a call that this address does not answer.
+
+        `segments` are those of its path, from which its arguments are taken.
+        """
         match segments:
             case [prefix, resource, *arguments] if prefix == API_PREFIX and resource in ENDPOINTS:
                 pass
             case _:
-                reply(problem(404, "no_such_path", "no such path"))
+                call.reply(problem(404, "no_such_path", "no such path"))
                 return
-        endpoint = ENDPOINTS[resource].get(method)
+        endpoint = ENDPOINTS[resource].get(call.method)
         if endpoint is None or not self.answers(endpoint, arguments):
-            reply(problem(405, "no_such_call", f"{method} is no call here"))
+            call.reply(problem(405, "no_such_call", f"{call.method} is no call here"))
             return
-        endpoint.handler(self, ApiCall(method, arguments, query, body, reply))
+        endpoint.handler(self, replace(call, arguments=arguments))
 
     def answers(self, endpoint: Endpoint, arguments: list[str]) -> bool:
         """Return whether this address answers an endpoint's call with these path arguments."""
@@ -198,14 +223,14 @@
     def put_configuration(self, call: ApiCall) -> None:
         """Propose a new configuration; answer 400 if it is invalid."""
         try:
-            self.node.operator_calls.put_configuration(call.body, result_handler(call.reply))
+            self.node.operator_calls.put_configuration(call.caller, call.body, result_handler(call.reply))
         except InvalidConfigurationError as error:
             log.write("api", "refused a configuration", problem=error)
             call.reply(problem(400, error.code, str(error)))
 
     def get_configuration(self, call: ApiCall) -> None:
         """Answer with the newest configuration, once the control replicas have confirmed which one it is."""
-        self.node.operator_calls.read_configuration(configuration_handler(call.reply))
+        self.node.operator_calls.read_configuration(call.caller, configuration_handler(call.reply))
 
     def set_evacuation(self, call: ApiCall) -> None:
         """Begin (POST) or end (DELETE) the evacuation of a zone; answer 404 if the zone is unknown."""
@@ -213,11 +238,12 @@
         if not self.node.is_zone_known(zone):
             call.reply(problem(404, "no_such_zone", f"zone {zone} is none of the settings"))
             return
-        self.node.operator_calls.set_evacuation(zone, call.method == "POST", result_handler(call.reply))
+        evacuate = call.method == "POST"
+        self.node.operator_calls.set_evacuation(call.caller, zone, evacuate, result_handler(call.reply))
 
     def retire_member(self, call: ApiCall) -> None:
         """Remove a member from the core permanently."""
-        self.node.operator_calls.retire_member(call.arguments[0], result_handler(call.reply))
+        self.node.operator_calls.retire_member(call.caller, call.arguments[0], result_handler(call.reply))
 
 
 def failure(result: CommandResult) -> FinalAnswer | None:
--- a/hazelspring/daemon/node_process.py
+++ b/hazelspring/daemon/node_process.py
@@ -224,6 +224,7 @@
 
     def tick_node(self, now: float) -> None:
         """Advance the node, and update the parts that serve requests from its state."""
+        self.operator_calls.withdraw_abandoned()
         self.update_confirmed_at(now)
         self.node.ready = self.is_ready()
         self.execute_all(self.node.tick(now))
@@ -247,6 +248,7 @@
 
     def on_message(self, source: str, message: Message) -> None:
         """Pass another node's message to this node, and execute the actions that it returns."""
+        self.operator_calls.withdraw_abandoned()
         now = self.loop.time()
         actions = self.node.on_message(now, source, message)
         self.execute_all(actions)
@@ -309,6 +311,7 @@
         node = self.node
         saved = await self.disk.save(save.records)
         if node is self.node:
+            self.operator_calls.withdraw_abandoned()
             self.execute_all(node.on_saved(self.loop.time(), save.serial, saved))
 
     def on_state_changed(self, change: StateChanged) -> None:
--- a/hazelspring/node/control_replica.py
+++ b/hazelspring/node/control_replica.py
@@ -199,13 +199,24 @@
         self.proposer.submit(proposal)
         return self.advance(now)
 
+    def withdraw(self, now: float, token: int) -> list[Action]:
+        """Withdraw the proposal of a caller that has gone, and abandon a round that is left without any."""
+        self.actions = []
+        self.proposer.withdraw(token)
+        return self.advance(now)
+
     def on_peer_report(self, now: float) -> list[Action]:
         """Advance after a report from another node, as it may settle a proposal."""
         self.actions = []
         return self.advance(now)
 
     def advance(self, now: float) -> list[Action]:
-        """Advance proposals and rounds as far as possible, and begin a save of the changed records."""
+        """Advance proposals and rounds as far as possible, and begin a save of the changed records.
+
+        Proposals that have timed out are removed first: after a time in which the process stood still, no
+        round begins for them.
+        """
+        self.resolve_proposals(now)
         while True:
             if self.acceptor.is_superseded():
                 self.proposer.abandon_round()
@@ -224,12 +235,16 @@
                 self.on_decision(now, *decided)
                 continue
             break
-        self.actions += self.proposer.resolve(now, lambda proposal: self.is_confirmed_for(proposal, now))
+        self.resolve_proposals(now)
         self.catch_up(now)
         if (save := self.saves.begin_save()) is not None:
             self.actions.append(save)
         return self.actions
 
+    def resolve_proposals(self, now: float) -> None:
+        """Remove the proposals that have ended, and report their outcomes."""
+        self.actions += self.proposer.resolve(now, lambda proposal: self.is_confirmed_for(proposal, now))
+
     def on_decision(self, now: float, ballot: Ballot, state: ControlState, compressed: bytes | None) -> None:
         """Learn the state decided by this node's round, and send it to the current and previous members."""
         if state.version <= self.acceptor.version:
--- a/hazelspring/node/node.py
+++ b/hazelspring/node/node.py
@@ -176,6 +176,12 @@
         """Propose a read of the configuration in force for an operator."""
         return self.propose(now, Proposal(token, now, ProposalKind.READ))
 
+    def withdraw(self, now: float, token: int) -> list[Action]:
+        """Withdraw the proposal of an operator's call whose caller has gone without an answer."""
+        self.actions = self.control.withdraw(now, token)
+        self.check_membership(now)
+        return self.actions
+
     def propose(self, now: float, proposal: Proposal) -> list[Action]:
         """Submit a proposal, and immediately send heartbeats to the other core nodes.
 
--- a/tests/control_model.py
+++ b/tests/control_model.py
@@ -125,8 +125,10 @@
             for e in case.events
             if e.proposal and e.after
         }
-        # The tokens of proposals that no other proposal waits for.
-        self.final_tokens = self.proposals.keys() - {event.after for event in case.events}
+        # The tokens of proposals that no other proposal waits for, and whose callers stay.
+        left_nodes = {event.ip for event in case.events if event.kind == "leave"}
+        left_tokens = {e.proposal.token for e in case.events if e.proposal and e.ip in left_nodes}
+        self.final_tokens = self.proposals.keys() - {event.after for event in case.events} - left_tokens
         self.inboxes = [0] * len(self.ips)  # by recipient: the messages sent to it, as bits
         self.delivered: dict[tuple[int, int], StepResult] = {}  # by node state and message
         # By node state: the messages tried, and the two sets that `effects` returns.
@@ -247,6 +249,9 @@
             node.clock += 1
             proposal = replace(event.proposal, started_at=float(node.clock))
             return self.complete_step(node, node.propose(float(node.clock), proposal))
+        if event.kind == "leave":  # from now on the node's proposals are older than their callers wait
+            node.clock += 1
+            return self.complete_step(node, [])
         if event.kind == "fail":
             if old.saves.records_being_saved is None:
                 return None
@@ -331,7 +336,9 @@
             ]
             for n in set_bits(events_left):
                 event = self.case.events[n]
-                if event.ip == ip and (not event.after or self.is_confirmed(ended, event.after)):
+                has_followed = event.follows is None or not events_left >> event.follows & 1
+                is_possible = not event.after or self.is_confirmed(ended, event.after)
+                if event.ip == ip and has_followed and is_possible:
                     own_actions.append((event, events_left & ~(1 << n), rounds_left))
             for action, *rest in own_actions:
                 key = (node_number, action if not isinstance(action, Event) else id(action))
--- a/tests/control_node.py
+++ b/tests/control_node.py
@@ -119,7 +119,7 @@
                 frozenset(current.configurations),
             )
         if current is not None:
-            round_key += (current.ballot, current.base, current.started_at)
+            round_key += (current.ballot, current.base, current.started_at, current.proposed_tokens)
         return (
             (
                 self.peers.me,
@@ -137,7 +137,14 @@
             ),
             (
                 tuple(
-                    (proposal.token, proposal.base_version, proposal.confirmed, proposal.started_at)
+                    (
+                        proposal.token,
+                        proposal.base_version,
+                        proposal.bound_version,
+                        proposal.confirmed,
+                        proposal.confirmed_version,
+                        proposal.started_at,
+                    )
                     for proposal in proposer.proposals
                 ),
                 round_key,
@@ -159,8 +166,9 @@
 class Event:
     """A step that may happen once.
 
-    `kind` is "propose", "crash", "wipe" (of the disk) or "fail" (of a save).  `after` is the token of a
-    proposal that must be confirmed before.
+    `kind` is "propose", "leave" (of the callers, which the node does not see), "crash", "wipe" (of the disk) or
+    "fail" (of a save).  `after` is the token of a proposal that must be confirmed before, `follows` the number of
+    an event of the case that must have happened before.
     """
 
     kind: str
@@ -169,6 +177,7 @@
     is_possible: Callable[[ModelNode], bool] = lambda node: True  # by the state that the node knows
     name: str = ""
     after: int = 0
+    follows: int | None = None
 
 
 def consensus_message(body: bytes) -> ConsensusMessage:
--- a/tests/cut_node.py
+++ b/tests/cut_node.py
@@ -15,6 +15,7 @@
 
 import hazelspring.daemon.list_reader
 import hazelspring.daemon.node_process
+from hazelspring.consensus.proposal import Proposal
 from hazelspring.daemon.__main__ import main
 from hazelspring.daemon.instance_list_client import InstanceListClient
 from hazelspring.daemon.message_transport import MessageTransport
@@ -49,9 +50,10 @@
 
 
 def disable_confirmation() -> None:
-    """Make the node serve by its state without a confirmation from the core."""
+    """Make the node serve by its state without a confirmation from the core, neither by replies nor by a round."""
     ControlReplica.is_confirmed_for = lambda control, order, now: True  # type: ignore[assignment, method-assign]
     ControlReplica.confirmed_at = lambda control, now: now  # type: ignore[assignment, method-assign]
+    Proposal.needs_new_version = lambda proposal: False  # type: ignore[assignment, method-assign]
 
 
 if __name__ == "__main__":
--- a/tests/test_control_model.py
+++ b/tests/test_control_model.py
@@ -20,7 +20,7 @@
 import hazelspring.consensus.control_state
 from hazelspring.consensus.acceptor import Acceptor
 from hazelspring.consensus.control_state import NO_BALLOT, ControlState, Member
-from hazelspring.consensus.forwarding import VALID_VERSIONS
+from hazelspring.consensus.forwarding import VALID_VERSIONS, ForwardedProposal
 from hazelspring.consensus.messages import OutgoingMessage, Promise
 from hazelspring.consensus.proposal import BootstrapProposal, Proposal, ProposalKind
 from hazelspring.consensus.proposer import Proposer
@@ -170,6 +170,19 @@
     )
 
 
+def abandoned_evacuation(rounds: int, **counts: tuple[int, ...]) -> Case:
+    """The caller of a zone's evacuation leaves, unseen by the node; another node then confirms that it is open.
+
+    The evacuation is also forwarded to a third node.
+    """
+    leave = Event("leave", "d1", is_possible=lambda node: bool(node.proposer.proposals), name="callers")
+    reopening = replace(propose_evacuation("d3", 2, False), follows=1)
+    events = [propose_evacuation("d1", 1, True), leave, reopening]
+    return Case(
+        make_core("d1", "d2", "d3"), events, counts, rounds, forwarding_pairs=frozenset({("d1", "d2")})
+    )
+
+
 def forwarded_configuration(count: int, rounds: int) -> Case:
     """Two bodies under one version number, of which one is forwarded to the node that proposes the other."""
     case = competing_proposals("d1", "d2", "d3", count=count, rounds=rounds)
@@ -208,6 +221,9 @@
     "an evacuation is forwarded, then ended": lambda: forwarded_evacuation(
         3, d1=(1,), d2=(1, 2, 3), d3=(2, 3)
     ),
+    "an evacuation is abandoned, and the zone confirmed open": lambda: abandoned_evacuation(
+        3, d1=(1, 3), d2=(2,), d3=(1, 2)
+    ),
     "one of two bodies is forwarded": lambda: forwarded_configuration(count=2, rounds=2),
     "two bootstrap proposals": lambda: bootstrap(count=2, rounds=4),
 }
@@ -344,7 +360,7 @@
 
 
 def set_valid_versions(patch: Patch, versions: int) -> None:
-    patch.setattr("hazelspring.consensus.forwarding.VALID_VERSIONS", versions)
+    patch.setattr(ForwardedProposal, "valid_versions", lambda proposal: versions)
     patch.setattr("tests.control_node.VALID_VERSIONS", versions)
 
 
@@ -356,6 +372,15 @@
     set_valid_versions(patch, VALID_VERSIONS + 1)
 
 
+def orders_are_not_bound(patch: Patch) -> None:
+    patch.setattr("hazelspring.consensus.proposer.BINDING_TIME", 1e9)
+
+
+def evacuations_need_no_new_version(patch: Patch) -> None:
+    patch.setattr(Proposal, "needs_new_version", lambda proposal: False)
+
+
+REOPENED_AND_EVACUATED = "z1 was reopened but is so no longer"
 NO_LONGER_IN_FORCE, NUMBER_REUSED = (
     "r2 was confirmed but is no longer in force",
     "r2 was confirmed but another body has its number",
@@ -377,13 +402,25 @@
     (
         forwarded_proposals_never_expire,
         "an evacuation is forwarded, then ended",
-        "z1 was reopened but is so no longer",
+        REOPENED_AND_EVACUATED,
         True,
     ),
     (
         forwarded_proposals_valid_too_long,
         "an evacuation is forwarded, then ended",
-        "z1 was reopened but is so no longer",
+        REOPENED_AND_EVACUATED,
+        True,
+    ),
+    (
+        orders_are_not_bound,
+        "an evacuation is abandoned, and the zone confirmed open",
+        REOPENED_AND_EVACUATED,
+        True,
+    ),
+    (
+        evacuations_need_no_new_version,
+        "an evacuation is abandoned, and the zone confirmed open",
+        REOPENED_AND_EVACUATED,
         True,
     ),
     (every_read_is_confirmed, "a read after a confirmation", "a read shows r-1 after a newer one", True),
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -177,6 +177,30 @@
     after.reopen()
 
 
+@pytest.mark.parametrize("at", [1, 4])  # a member of the core, and a node without a disk
+def test_an_order_that_waited_in_a_stopped_node_is_ignored_once_its_caller_has_left(
+    fleet: LocalFleet, at: int
+) -> None:
+    """It was carried out when the node ran again, after a later order was acknowledged (`review/3`)."""
+    stopped, others = at, control_addresses(fleet, but=[at])
+    call_until_settled(others, "POST", "/-/evacuation/south-1")
+    fleet.processes[stopped].send_signal(signal.SIGSTOP)
+    late = PendingCall(fleet.control_addresses()[stopped], "DELETE", "/-/evacuation/south-1")
+    put = send_put(fleet, stopped, configuration(next(version_numbers)))
+    late.connection.close()
+    put.connection.close()
+    call_until_settled(others, "DELETE", "/-/evacuation/south-1")
+    call_until_settled(others, "POST", "/-/evacuation/south-1")
+    fleet.processes[stopped].send_signal(signal.SIGCONT)
+    # a change by the stopped node itself comes after whatever it had read before
+    last = configuration(next(version_numbers))
+    call_until_settled([fleet.control_addresses()[stopped]], "PUT", "/-/configuration", last)
+    for n in fleet.remaining_nodes():
+        fleet.wait_until(lambda n=n: node_status(fleet, n)["closedZones"] == ["south-1"], 10)
+    log = (fleet.folder / f"node-{stopped + 1}.log").read_text()
+    assert log.count("api: ignored a command: its caller has left") == 2
+
+
 # 2: one number, one body
 
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -57,16 +57,19 @@
 # --- forwarded proposals -----------------------------------------------------------------------------------
 
 
-def test_a_forwarded_proposal_is_valid_for_two_versions_and_applied_once() -> None:
+def test_a_forwarded_configuration_is_valid_for_two_versions_and_an_evacuation_for_one() -> None:
+    put = ForwardedProposal(
+        0, 0.0, ProposalKind.PUT_CONFIGURATION, configuration_version=7, valid_from_version=4
+    )
     evacuation = ForwardedProposal(
         0, 0.0, ProposalKind.SET_EVACUATION, zone="z1", evacuate=True, valid_from_version=4
     )
-    assert [evacuation.apply(state(version)).evacuated_zones == {"z1"} for version in (3, 4, 5, 6)] == [
-        False,
-        True,
-        True,
-        False,
-    ]
+    versions = (3, 4, 5, 6)
+    assert [v for v in versions if put.apply(state(v)).configuration_version == 7] == [4, 5]
+    assert [v for v in versions if evacuation.apply(state(v)).evacuated_zones == {"z1"}] == [4]
+
+
+def test_a_forwarded_proposal_is_kept_once_and_only_as_long_as_it_is_valid() -> None:
     forwarded = ForwardedProposals()
     change = ForwardedChange("evacuate", -1, b"", None, "z1", True)
     for _ in range(3):
@@ -76,6 +79,11 @@
         and forwarded.applicable(state(4))
         and not forwarded.applicable(state(4, "z1"))
     )
+    forwarded.expire(0.0, state(4))
+    assert forwarded.proposals
+    forwarded.expire(0.0, state(5))
+    assert not forwarded.proposals
+    forwarded.add(0.0, "d2", 4, [ForwardedChange("put", 7, b"digest", b"body", "", False)])
     forwarded.expire(0.0, state(3 + VALID_VERSIONS))
     assert forwarded.proposals
     forwarded.expire(0.0, state(4 + VALID_VERSIONS))
@@ -113,7 +121,7 @@
 ) -> None:
     """Without the bound on versions, a late forwarded proposal would evacuate the zone again."""
     if not is_bounded:
-        monkeypatch.setattr("hazelspring.consensus.forwarding.VALID_VERSIONS", 1000)
+        monkeypatch.setattr(ForwardedProposal, "valid_versions", lambda proposal: 1000)
     again = 0
     for seed in range(6):
         world = settled_world(seed=seed)
--- a/tests/test_golden_control.py
+++ b/tests/test_golden_control.py
@@ -46,12 +46,13 @@
     assert sums == read("sums.json")  # of all messages and all saved records of each simulated run, in order
 
 
-@pytest.mark.parametrize("file", ["messages.json", "messages-before-53.json"])
+@pytest.mark.parametrize("file", ["messages.json", "messages-before-53.json", "messages-before-65.json"])
 def test_each_kind_was_recorded_under_its_variant_and_decodes_to_the_same_bytes(file: str) -> None:
-    """messages-before-53.json was recorded with an earlier version of the program, which sent other
-    variants.
+    """The two files with an issue's number were recorded with earlier versions of the program, whose plays sent
+    other variants.
 
-    In that version, a node did not yet take the roster from any member that answers.
+    Before 53, a node did not yet take the roster from any member that answers; before 65, an evacuation that was in
+    force already made no new version.
     """
     recorded = {key: bytes.fromhex(body) for key, body in read(file).items()}
     assert {key.split("/")[0] for key in recorded} == KINDS
@@ -60,10 +61,11 @@
         assert recording.wire_bytes(recording.from_wire(body)) == body
 
 
-def test_a_settled_member_answers_every_recorded_message_as_recorded() -> None:
-    answers = recording.answers_to(read("messages.json"))
-    recorded = read("answers.json")
-    assert answers.keys() == read("messages.json").keys()
+@pytest.mark.parametrize("earlier", ["", "-before-65"])
+def test_a_settled_member_answers_every_recorded_message_as_recorded(earlier: str) -> None:
+    messages, recorded = read(f"messages{earlier}.json"), read(f"answers{earlier}.json")
+    answers = recording.answers_to(messages)
+    assert answers.keys() == messages.keys()
     assert {key: found for key, found in answers.items() if found != recorded[key]} == {}
 
 
--- a/tests/test_golden_edges.py
+++ b/tests/test_golden_edges.py
@@ -155,7 +155,7 @@
         recorded: Record = {"good": True, "word": pack(document.encode())} | outcome_changes
         outcome = {OUTCOME_FIELDS.get(key, key): value for key, value in recorded.items()}
         transport = exchange(ApiConnection(api), request.encode())
-        for token in list(process.operator_calls.replies):
+        for token in list(process.operator_calls.open_commands):
             process.operator_calls.on_outcome(ProposalOutcome(token, **outcome))
         api.close()
         return transport.sent.decode()
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -15,6 +15,7 @@
 from hazelspring.consensus.proposal import ProposalOutcome
 from hazelspring.daemon.__main__ import SettingsWatcher
 from hazelspring.daemon.node_process import NodeProcess
+from hazelspring.daemon.operator_calls import OpenCommand
 from hazelspring.daemon.settings import Settings, load_settings
 from hazelspring.gateway.client_connection import Client, Listener
 from hazelspring.gateway.config import parse_address
@@ -35,6 +36,13 @@
 ZONES, KINDS = ("a", "b"), ("big",)
 
 
+class WaitingCaller:
+    """A caller that stays until its command is answered."""
+
+    def has_left(self) -> bool:
+        return False
+
+
 class UnexpectedError(Exception):
     """An error of a type that no code handles by name."""
 
@@ -218,7 +226,9 @@
 def test_actions_are_executed_whatever_fails_before_them(tmp_path: Path) -> None:
     async def scenario(node: NodeProcess) -> None:
         successes = list[bool]()
-        node.operator_calls.replies[77] = lambda settled: successes.append(settled.succeeded)
+        node.operator_calls.open_commands[77] = OpenCommand(
+            WaitingCaller(), lambda settled: successes.append(settled.succeeded)
+        )
         node.execute_all([TableChanged("unknown"), ProposalOutcome(77, True, "")])
         assert successes == [True] and node.supervisor.failures["TableChanged"] == 1
 
@@ -231,7 +241,7 @@
         with monkeypatch.context() as patch:
             patch.setattr(store_of(node), "save", fail)
             node.operator_calls.put_configuration(
-                configuration(3), lambda settled: successes.append(settled.succeeded)
+                WaitingCaller(), configuration(3), lambda settled: successes.append(settled.succeeded)
             )
             await until(lambda: node.supervisor.failures["save"] > 1)
             assert not successes
@@ -248,8 +258,8 @@
         with monkeypatch.context() as patch:
             patch.setattr(node.node, "put_configuration", fail)
             with pytest.raises(UnexpectedError):
-                node.operator_calls.put_configuration(configuration(3), lambda settled: None)
-        assert not node.operator_calls.replies
+                node.operator_calls.put_configuration(WaitingCaller(), configuration(3), lambda settled: None)
+        assert not node.operator_calls.open_commands
 
     with_node(tmp_path, scenario)
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -127,6 +127,7 @@
         self.machines: dict[str, Machine] = {}
         self.cut: set[tuple[str, str]] = set()
         self.calls: dict[int, Call] = {}
+        self.left: set[int] = set()  # tokens of calls whose callers were seen to leave
         self.tokens = itertools.count(1)
         self.decided: dict[int, ControlState] = {}  # by version, as first seen at any node
         self.listing: dict[str, dict[str, ServerEntry]] | None = {
@@ -309,9 +310,32 @@
         core, token = self.machines[call.machine].core, next(self.tokens)
         self.calls[token] = call
         if core is not None:
-            self.unless_frozen(call.machine, core, lambda: self.actions(call.machine, begin(core, token)))
+
+            def read_call() -> None:
+                if token not in self.left:
+                    self.actions(call.machine, begin(core, token))
+
+            self.unless_frozen(call.machine, core, read_call)
         return token
 
+    def leave(self, token: int) -> None:
+        """Let the caller of a call leave without an answer; its node sees it before all else that it reads."""
+        call = self.calls[token]
+        machine = self.machines[call.machine]
+        core = machine.core
+        if call.done is not None or core is None:
+            return
+        self.left.add(token)
+
+        def withdraw() -> None:
+            if machine.core is core:
+                self.actions(call.machine, core.withdraw(self.now, token))
+
+        if machine.frozen is None:
+            withdraw()
+        else:
+            machine.frozen.insert(0, withdraw)
+
     def put(self, name: str, number: int, mark: str = "") -> int:
         body = body_of(number, mark)
         call = Call("put", self.now, name, number, mark.encode())
