The soak evacuates zones under series of failures, and tells late requests by their cause

Need: the soak sent no evacuation, so that it could not see what the users saw. In a series (`--series SECONDS`) an operator now evacuates zones, takes that back and evacuates them again, each order as the protocol says: to another node after a second of silence, and often first to a node that stands still or is cut off. Half of the nodes without a disk fail all the time (stopped, killed, terminated, cut off, SIGHUP), one member of the core at a time now and then; processes that end by themselves are started again. Clients keep their connections; their reads need no key, so a node that has lost the core serves them. What servers saw is judged at the rule's bound, by who is in touch, with the outer stretch; a table tells late requests by node, what it held in force, and the order's way.

A server stand-in keeps the time of its last 100,000 requests in place of those after its drain; the drains are judged as before. With more nodes than servers the soak's fault `lost answers` named a server that did not exist.

--- a/hazelspring/localfleet/fleet.py
+++ b/hazelspring/localfleet/fleet.py
@@ -43,20 +43,30 @@
     return ports
 
 
-def configuration(number: int, timeout_ms: int = 4000, keys: tuple[str, ...] = (KEY,)) -> bytes:
-    """Return a small configuration as JSON: a tenant, and a service with routes for reads and writes."""
+def configuration(
+    number: int, timeout_ms: int = 4000, keys: tuple[str, ...] = (KEY,), requests_per_second: int = 200
+) -> bytes:
+    """Return a small configuration as JSON: a tenant, and a service with routes for reads and writes.
 
-    def route(name: str, prefix: str, kind: str) -> dict[str, Any]:
+    Reads under ``/open/`` need no access key; the others count towards the tenant's quota.
+    """
+
+    def route(name: str, prefix: str, kind: str, **more: Any) -> dict[str, Any]:
         spec = {
             "hostName": "shop.example", "pathPrefix": prefix, "routeKind": kind, "timeoutMs": timeout_ms,
-            "targetAnswerMs": 800, "priority": 1, "service": "shop", "maximumAttempts": 2,
+            "targetAnswerMs": 800, "priority": 1, "service": "shop", "maximumAttempts": 2, **more,
         }  # fmt: skip
         return {"resourceKind": "routeTable", "metadata": {"name": name}, "specification": spec}
 
     service = {"healthPath": "/health", "connectionLimit": 100, "coldStartS": 0.2, "coldPerS": 2}
-    tenant = {"accessKeys": list(keys), "requestsPerS": 200, "burstSize": 200}
+    tenant = {
+        "accessKeys": list(keys),
+        "requestsPerS": requests_per_second,
+        "burstSize": requests_per_second,
+    }
     resources = [
         route("reads", "/read/", "read_only"),
+        route("open", "/open/", "read_only", openAccess=True),
         route("writes", "/write/", "mutating"),
         {"resourceKind": "serviceTable", "metadata": {"name": "shop"}, "specification": service},
         {"resourceKind": "tenantTable", "metadata": {"name": "green"}, "specification": tenant},
--- a/hazelspring/localfleet/stand_ins.py
+++ b/hazelspring/localfleet/stand_ins.py
@@ -15,13 +15,14 @@
 import struct
 import sys
 import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 from http import HTTPStatus
 from typing import NamedTuple
 
+MAX_EXECUTED = 100_000  # requests of which a server keeps the time
 PROCESS_WORK_SECONDS = 0.03  # duration of a request at a server that runs as a process of its own
 
 Headers = dict[str, str]
@@ -47,8 +48,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LateRequest:
-    """A request that reached a server after its drain had begun."""
+class ExecutedRequest:
+    """A request that reached a server and was executed there."""
 
     at: float  # by the monotonic clock, in seconds
     attempt: str
@@ -109,7 +110,8 @@
     misdirected: int = 0  # requests refused because they were for another incarnation
     execution_log: int | None = None  # descriptor of a file that records attempt ids before execution
     drained_at: float = math.inf  # when it was listed as draining, in monotonic seconds
-    after_drain: list[LateRequest] = field(default_factory=list)
+    # the last requests, since `forget_requests` was called
+    executed: deque[ExecutedRequest] = field(default_factory=lambda: deque(maxlen=MAX_EXECUTED))
 
     def drain(self) -> None:
         """Change the listed state to draining."""
@@ -121,7 +123,11 @@
         self.id = id_
         self.state = ServerState.ACCEPTING
         self.drained_at = math.inf
-        self.after_drain.clear()
+
+    def forget_requests(self) -> None:
+        """Forget the requests that were executed."""
+        self.executions.clear()
+        self.executed.clear()
 
     async def handle(self, method: str, path: str, headers: Headers, body: bytes) -> StandInAnswer:
         """Answer a health check, refuse a request for another incarnation, or execute a request."""
@@ -156,8 +162,7 @@
     def record_execution(self, attempt: str) -> None:
         """Record a request that is about to be executed."""
         self.executions[attempt] += 1
-        if self.state is ServerState.DRAINING:
-            self.after_drain.append(LateRequest(time.monotonic(), attempt))
+        self.executed.append(ExecutedRequest(time.monotonic(), attempt))
         if self.execution_log is not None:
             os.write(self.execution_log, f"{attempt}\n".encode())
 
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -235,10 +235,18 @@
 
 
 class Operators:
-    """Threads that put one configuration after another until `stop`; each must be confirmed."""
+    """Threads that put one configuration after another until `stop`; each must be confirmed.
 
-    def __init__(self, nodes: Callable[[], list[str]], count: int = 3) -> None:
-        self.nodes, self.stopped = nodes, threading.Event()
+    `make` returns the configuration of a number.
+    """
+
+    def __init__(
+        self,
+        nodes: Callable[[], list[str]],
+        count: int = 3,
+        make: Callable[[int], bytes] = configuration,
+    ) -> None:
+        self.nodes, self.make, self.stopped = nodes, make, threading.Event()
         self.highest, self.confirmed, self.failed = 0, 0, list[str]()
         self.threads = [threading.Thread(target=self.run, args=(n,)) for n in range(count)]
         for thread in self.threads:
@@ -253,7 +261,7 @@
                     nodes[n % len(nodes) :] + nodes[: n % len(nodes)],
                     "PUT",
                     "/-/configuration",
-                    configuration(number),
+                    self.make(number),
                 )
             except CallError as error:
                 self.failed.append(str(error))
@@ -272,10 +280,14 @@
 
 
 class Clients:
-    """Threads that send writes and reads, each once, to all nodes in turn over persistent connections."""
+    """Threads that send writes and reads, each once, to all nodes in turn over persistent connections.
+
+    With `open_reads`, reads are sent on the route that needs no access key.
+    """
 
-    def __init__(self, fleet: LocalFleet, count: int = 8) -> None:
+    def __init__(self, fleet: LocalFleet, count: int = 8, open_reads: bool = False) -> None:
         self.fleet, self.stopped = fleet, threading.Event()
+        self.read_path = "open" if open_reads else "read"
         self.statuses: dict[str, int] = {}  # status by attempt id
         self.nodes: dict[str, int] = {}  # the node that got the request, by attempt id
         self.mismatched_answers: list[str] = []
@@ -292,7 +304,7 @@
             node, id_ = nodes[n % len(nodes)], f"c-{next(self.ids)}"
             self.nodes[id_] = node
             method = "POST" if is_write(id_) else "GET"
-            path = f"/{'read' if method == 'GET' else 'write'}/{id_}"
+            path = f"/{self.read_path if method == 'GET' else 'write'}/{id_}"
             if node not in connections:
                 connections[node] = http.client.HTTPConnection(
                     self.fleet.ips[node], self.fleet.front, timeout=6
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -5,7 +5,8 @@
 
 Clients use their connections until the process at the other end is gone.  In each episode two servers drain.
 Whatever fails meanwhile, each node that is connected to the core must stop sending requests to these servers
-in time, and must not return to clients the addresses of machines that have been off for long.
+in time, and must not return to clients the addresses of machines that have been off for long.  In a series of
+failures (`--series SECONDS`) zones are evacuated besides, and must get no requests after the rule's time.
 
 `python -m tests.soak --seeds N --jobs N --others N` runs many seeds, `tests/test_soak.py` one.
 """
@@ -35,6 +36,19 @@
 
 from .callers import Clients, Operators, is_write, node_status, write_links
 from .ledger import NOT_RUN_STATUSES
+from .soak_evacuations import (
+    IN_TOUCH,
+    OUT_OF_TOUCH,
+    OUTER,
+    OUTER_STRETCH,
+    EvacuationOperator,
+    EvacuationPeriod,
+    LateRequest,
+    cause_table,
+    evacuation_periods,
+    held_zones,
+    read_zones_in_force,
+)
 from .soak_faults import (
     CONNECT_TIME,
     CUT,
@@ -51,12 +65,16 @@
     Failure,
     connected_since,
     draw,
+    draw_series,
+    reachable_since,
 )
 from .soak_lookups import Lookups
 
 SERVERS = 8
 DRAINING_SERVERS = 2  # in each episode
 DRAIN_CUTOFF = 3.0  # seconds, `drainCutoffMs` of the settings
+SERIES_REQUESTS_PER_SECOND = 2000  # the tenant's limit, far above what the clients send
+SETTLING_TIME = 3.0  # seconds after the last failure of a series
 MARGIN = 0.2  # seconds between the time that a server records and the time at which a request reached it
 METRICS_TIMEOUT = 0.3  # seconds; short, as the node may be stopped
 RECOVERY_TIME = 40.0  # seconds until all nodes are ready and the core is complete again
@@ -88,6 +106,12 @@
         self.stand_ins = StandIns(self.fleet.platform, self.fleet.servers)
         self.background = BackgroundStandIns(self.stand_ins)
         self.violations: list[str] = []
+        self.late_in_zones: list[
+            LateRequest
+        ] = []  # requests that reached an evacuated zone after the rule's time
+        self.orders_acknowledged = 0
+        self.ends_by_themselves = 0
+        self.stopped_nodes: set[int] = set()
         self.read_lengths: dict[Path, int] = {}  # the number of characters of each log that were read
         self.number = 0  # the highest acknowledged configuration number
         self.server_restarts = 0
@@ -96,8 +120,11 @@
         for server in self.fleet.servers:
             server.slots = 4
 
-    def run(self, episodes: Iterable[list[Failure]]) -> list[str]:
-        """Return the violations during the episodes and the loss of a disk at their end."""
+    def run(self, episodes: Iterable[list[Failure]], series_length: float = 0.0) -> list[str]:
+        """Return the violations during the episodes, a series of failures, and the loss of a disk at the end.
+
+        `series_length` is the length of the series in seconds; 0 for none.
+        """
         fleet = self.fleet
         try:
             fleet.start_all(first=True)
@@ -107,6 +134,9 @@
             self.wait_until_recovered()
             for failures in episodes:
                 self.episode(failures)
+            if series_length:
+                core, others = self.settings.core, self.settings.others
+                self.series(draw_series(self.chance, core, others, series_length), series_length)
             self.lose_a_disk_and_all_processes()
         except TimeoutError as error:
             self.violations.append(f"RECOVER: {error}")
@@ -143,22 +173,109 @@
             self.server_restarts += 1
             server.restart_as(f"i-restart-{self.server_restarts}")
 
+    def series(self, failures: list[Failure], length: float) -> None:
+        """Play a series of failures while zones are evacuated and taken back, and check both.
+
+        It ends with a calm time in which the last evacuation must be in force at every node.
+        """
+        actions = [
+            (at, trigger)
+            for failure in failures
+            for at, trigger in zip((failure.begins, failure.ends), self.triggers(failure), strict=True)
+        ]
+        clients, lookups = Clients(self.fleet, self.settings.clients, open_reads=True), Lookups(self.fleet)
+        make = partial(configuration, requests_per_second=SERIES_REQUESTS_PER_SECOND)
+        operators = Operators(lambda: self.fleet.control_addresses(), 1, make)
+        evacuations = EvacuationOperator(self.fleet, self.chance.randrange(1 << 30), self.silent_nodes)
+        began = time.monotonic()
+        for at, action in sorted(actions, key=lambda one: one[0]):
+            time.sleep(max(0.0, began + at - time.monotonic()))
+            self.restart_ended(failures, time.monotonic() - began)
+            action()
+        time.sleep(max(0.0, began + length + SETTLING_TIME - time.monotonic()))
+        self.restart_ended(failures, time.monotonic() - began)
+        for caller in (evacuations, operators, clients, lookups):
+            caller.stop()
+        self.check_evacuations(evacuations, clients, failures, began)
+        self.wait_until_recovered()
+        for zone in sorted(set(self.fleet.zones)):
+            call_until_settled(
+                self.fleet.control_addresses(), "DELETE", f"/-/evacuation/{zone}", patience=RECOVERY_TIME
+            )
+        self.check_clients(clients)
+        self.check_operators(operators)
+        self.check_logs()
+
+    def restart_ended(self, failures: list[Failure], now: float) -> None:
+        """Start the processes again that have ended by themselves, as the platform does, and count them."""
+        for node, process in list(self.fleet.processes.items()):
+            is_off = any(one.node == node and one.is_off(now) for one in failures)
+            if not is_off and process.poll() is not None:
+                self.ends_by_themselves += 1
+                self.fleet.start(node)
+
+    def silent_nodes(self) -> list[int]:
+        """Return the nodes that stand still or are cut off now."""
+        return sorted(self.stopped_nodes | self.cuts.keys())
+
+    def check_evacuations(
+        self, evacuations: EvacuationOperator, clients: Clients, failures: list[Failure], began: float
+    ) -> None:
+        """Find the requests that reached evacuated zones too late; they are violations if the rule binds."""
+        periods = evacuation_periods(evacuations.orders)
+        self.orders_acknowledged += sum(order.acknowledged_at is not None for order in evacuations.orders)
+        in_force = {
+            node: read_zones_in_force(self.fleet.folder / f"node-{node + 1}.zones")
+            for node in self.fleet.remaining_nodes()
+        }
+        for server in self.fleet.servers:
+            for request in server.executed:
+                for period in periods:
+                    delay = period.delay(server.zone, request.at - MARGIN)
+                    if not delay:
+                        continue
+                    node = clients.nodes[request.attempt]
+                    late = LateRequest(
+                        request.attempt,
+                        node,
+                        server.zone,
+                        delay,
+                        held_zones(in_force, period, node, request.at),
+                        " ".join(period.order.way),
+                        self.judge_lateness(failures, period, node, request.at, began),
+                    )
+                    self.late_in_zones.append(late)
+                    if late.is_violation:
+                        text = f"{late.attempt} reached {late.zone} by node {node} {delay:.2f} s after it was"
+                        self.violations.append(
+                            f"EVAC: {text} evacuated; held {late.in_force}; way {late.way}"
+                        )
+
+    def judge_lateness(
+        self, failures: list[Failure], period: EvacuationPeriod, node: int, at: float, began: float
+    ) -> str:
+        """Return whether the rule binds a node that sent a request to an evacuated zone at a time."""
+        core, now = self.settings.core, at - began
+        if self.connected_since(failures, node, now) + MARGIN <= now:
+            return IN_TOUCH
+        acknowledged = period.acknowledged_at - began
+        if reachable_since(failures, node, core, acknowledged, now) + MARGIN > now:
+            return OUT_OF_TOUCH
+        return IN_TOUCH if period.delay(period.order.zone, at - OUTER_STRETCH - MARGIN) else OUTER
+
     def triggers(self, failure: Failure) -> tuple[Trigger, Trigger]:
         """Return what begins a failure and what ends it."""
         fleet, n = self.fleet, failure.node
         stop_answers = partial(self.stop_list_answers, failure)
         resume_answers = partial(self.resume_list_answers, failure)
         reset = partial(self.background.loop.call_soon_threadsafe, self.stand_ins.reset_platform)
-        lose_answers = partial(setattr, fleet.servers[n], "drops_answers")
+        lose_answers = partial(setattr, fleet.servers[n % SERVERS], "drops_answers")
         triggers: dict[str, tuple[Trigger, Trigger]] = {
             KILL: (partial(fleet.kill, n), partial(fleet.start, n)),
             LONG_KILL: (partial(fleet.kill, n), partial(fleet.start, n)),
             RESTART: (partial(self.send_signal, n, signal.SIGTERM), partial(self.start_again, n)),
             RELOAD: (self.reload_all, self.reload_all),
-            STOP: (
-                partial(self.send_signal, n, signal.SIGSTOP),
-                partial(self.send_signal, n, signal.SIGCONT),
-            ),
+            STOP: (partial(self.stop_process, n), partial(self.continue_process, n)),
             CUT: (partial(self.cut_off, n, failure.direction), partial(self.reconnect, n)),
             HANG: (stop_answers, resume_answers),
             FAIL: (stop_answers, resume_answers),
@@ -181,6 +298,14 @@
     def send_signal(self, n: int, number: signal.Signals) -> None:
         self.fleet.processes[n].send_signal(number)
 
+    def stop_process(self, n: int) -> None:
+        self.stopped_nodes.add(n)
+        self.send_signal(n, signal.SIGSTOP)
+
+    def continue_process(self, n: int) -> None:
+        self.stopped_nodes.discard(n)
+        self.send_signal(n, signal.SIGCONT)
+
     def cut_off(self, n: int, direction: str) -> None:
         self.cuts[n] = direction
         self.write_cuts()
@@ -241,8 +366,10 @@
             if math.isinf(server.drained_at):
                 continue
             last = 0.0
-            for late_request in server.after_drain:
-                at, attempt = late_request.at, late_request.attempt
+            for request in server.executed:
+                at, attempt = request.at, request.attempt
+                if at < server.drained_at:
+                    continue
                 node = clients.nodes[attempt]
                 if began + self.connected_since(failures, node, at - began) + MARGIN > at:
                     continue
@@ -287,7 +414,7 @@
         if not any(status == 200 for status in clients.statuses.values()):
             self.violations.append("RECOVER: no request was served")
         for server in self.fleet.servers:
-            server.executions.clear()
+            server.forget_requests()
 
     def check_operators(self, operators: Operators) -> None:
         self.violations += [f"ACKS: {text}" for text in operators.failed]
@@ -326,20 +453,35 @@
 
 @dataclass(frozen=True)
 class Result:
-    """The result of one seed: violations of rules, and seconds from each drain to the last request."""
+    """The result of one seed: violations of rules, and seconds from each drain to the last request.
+
+    `late_in_zones` are the requests that reached an evacuated zone after the rule's time, also where the rule did
+    not bind; `orders_acknowledged` counts the evacuations and their ends, `ends_by_themselves` the processes
+    that ended without a signal that ends them.
+    """
 
     violations: list[str]
     last_requests: list[float]
+    late_in_zones: list[LateRequest]
+    orders_acknowledged: int
+    ends_by_themselves: int
 
 
-def run_seed(episodes: int, others: int, clients: int, seed: int) -> Result:
+def run_seed(episodes: int, series: float, others: int, clients: int, seed: int) -> Result:
     """Run the episodes of one fleet; print its logs to standard error if a rule was violated."""
     with tempfile.TemporaryDirectory(prefix="soak-") as folder:
         soak = Soak(Path(folder), seed, Settings(others=others, clients=clients))
-        violations = soak.run(draw(soak.chance, soak.settings.core, others) for _ in range(episodes))
+        drawn = (draw(soak.chance, soak.settings.core, others) for _ in range(episodes))
+        violations = soak.run(drawn, series)
         for path in Path(folder).glob("*.log") if violations else ():
             print(f"--- seed {seed}: {path.stem}\n{path.read_text(errors='replace')}", file=sys.stderr)
-        return Result(violations, soak.last_requests)
+        return Result(
+            violations,
+            soak.last_requests,
+            soak.late_in_zones,
+            soak.orders_acknowledged,
+            soak.ends_by_themselves,
+        )
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -347,6 +489,9 @@
     parser.add_argument("--seeds", type=int, default=8, help="the number of seeds (8)")
     parser.add_argument("--first", type=int, default=1, help="the first seed (1)")
     parser.add_argument("--episodes", type=int, default=4, help="episodes of each seed (4)")
+    parser.add_argument(
+        "--series", type=float, default=0.0, help="seconds of a series of failures with evacuations (0: none)"
+    )
     parser.add_argument("--jobs", type=int, default=4, help="fleets that run at the same time (4)")
     parser.add_argument(
         "--others", type=int, default=2, help="nodes besides the four of the core (2; at most 86)"
@@ -356,11 +501,15 @@
     )
     chosen = parser.parse_args(arguments)
     seeds = range(chosen.first, chosen.first + chosen.seeds)
-    failed, delays = 0, list[float]()
+    failed, acknowledged, ends = 0, 0, 0
+    delays, late = list[float](), list[LateRequest]()
     with ProcessPoolExecutor(chosen.jobs, max_tasks_per_child=1) as pool:
-        one = partial(run_seed, chosen.episodes, chosen.others, chosen.clients)
+        one = partial(run_seed, chosen.episodes, chosen.series, chosen.others, chosen.clients)
         for seed, result in zip(seeds, pool.map(one, seeds), strict=True):
             delays += result.last_requests
+            late += result.late_in_zones
+            acknowledged += result.orders_acknowledged
+            ends += result.ends_by_themselves
             worst = max(result.last_requests, default=0.0)
             summary = "; ".join(result.violations[:5]) or "no rule broken"
             print(f"seed {seed}: {summary}; last request {worst:.2f} s after a drain", flush=True)
@@ -370,6 +519,11 @@
         [delays[int(part * (len(delays) - 1))] for part in (0.5, 0.95, 1.0)] if delays else [0.0] * 3
     )
     print("from a drain to the last request, s: median {:.2f}, 95% {:.2f}, worst {:.2f}".format(*percentiles))
+    print(
+        f"{acknowledged} evacuations and their ends were acknowledged; requests to evacuated zones, by cause:"
+    )
+    print("\n".join(cause_table(late)) or "  none")
+    print(f"{ends} processes ended by themselves, and were started again")
     print(f"{len(seeds)} seeds, {failed} failed")
     return 1 if failed else 0
 
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -22,6 +22,12 @@
 )
 LONG_KILL, RESTART, RELOAD = "long kill", "restart", "reload"
 KINDS = (KILL, LONG_KILL, LONG_KILL, STOP, CUT, HANG, HANG, FAIL, RESET, LOST_ANSWERS, RESTART, RELOAD)
+# Of a series of failures: their kinds, the least and the longest duration, and the pauses between them, in seconds.
+SERIES_KINDS = (KILL, STOP, STOP, STOP, CUT, CUT, RESTART)
+SERIES_DURATION = (0.5, 4.5)
+MIN_PAUSE, MAX_PAUSE = 0.3, 5.0
+CALM_TIME = 16.0  # longest pause between two failures of core members
+FAILING_FRACTION = 0.5  # of the nodes without a disk
 ENDS_PROCESS = frozenset((KILL, LONG_KILL, RESTART))
 DISCONNECTING = frozenset((STOP, CUT)) | ENDS_PROCESS  # failures after which nodes must first connect again
 
@@ -75,6 +81,34 @@
     return failures
 
 
+def draw_series(chance: random.Random, core: int, others: int, length: float) -> list[Failure]:
+    """Return failures in series that overlap, for `length` seconds; each node has one at a time.
+
+    Nodes without a disk fail all the time.  Of the core, at most one member fails at a time, and not at all for
+    `CALM_TIME` seconds now and then, so that the rules bind all other nodes there.
+    """
+    failures = []
+    for node in chance.sample(range(core, core + others), math.ceil(others * FAILING_FRACTION)):
+        failures += failures_in_turn(chance, [node], length, MAX_PAUSE)
+    failures += failures_in_turn(chance, range(core), length, CALM_TIME)
+    reload_at = chance.uniform(0.0, length)
+    return [*failures, Failure(RELOAD, chance.randrange(core + others), reload_at, reload_at + 0.5)]
+
+
+def failures_in_turn(
+    chance: random.Random, nodes: Sequence[int], length: float, max_pause: float
+) -> list[Failure]:
+    """Return one failure after another, of nodes drawn by chance, with pauses of up to `max_pause` seconds."""
+    failures = []
+    at = chance.uniform(0.0, max_pause)
+    while at < length:
+        ends = at + chance.uniform(*SERIES_DURATION)
+        direction = chance.choice(("both", "both", "in", "out"))
+        failures.append(Failure(chance.choice(SERIES_KINDS), chance.choice(nodes), at, ends, direction))
+        at = ends + chance.uniform(MIN_PAUSE, max_pause)
+    return failures
+
+
 def connected_since(failures: Sequence[Failure], node: int, core: int, at: float) -> float:
     """Return the time since which a node is connected, in seconds of the episode.
 
@@ -83,3 +117,17 @@
     if 2 * sum(one.is_off(at) and one.node < core for one in failures) >= core:
         return math.inf
     return max((one.reconnected_at(at) for one in failures if one.disconnects(node, core)), default=0.0)
+
+
+def reachable_since(failures: Sequence[Failure], node: int, core: int, since: float, at: float) -> float:
+    """Return the time since which a node is free of failures, while half of the core may fail beside it.
+
+    It is infinite if half of the core or more failed at some time from `since` to `at`.  As for `connected_since`,
+    a result later than `at` means that the node is not connected.
+    """
+    of_core = [one for one in failures if one.node < core and one.kind in DISCONNECTING]
+    moments = [since, *(one.begins for one in of_core if since <= one.begins <= at)]
+    if any(2 * sum(one.begins <= moment < one.ends for one in of_core) >= core for moment in moments):
+        return math.inf
+    own = [one for one in failures if one.node == node and one.kind in DISCONNECTING]
+    return max((one.ends + CONNECT_TIME for one in own if one.begins <= at), default=0.0)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import math
 import random
+from itertools import pairwise
 from pathlib import Path
 
 import pytest
 
 from .soak import Settings, Soak
+from .soak_evacuations import EvacuationPeriod, Order, ZonesInForce, evacuation_periods, held_zones
 from .soak_faults import (
     CONNECT_TIME,
     CUT,
@@ -16,9 +19,13 @@
     KINDS,
     LONG_KILL,
     LONG_KILL_TIME,
+    RELOAD,
+    STOP,
     Failure,
     connected_since,
     draw,
+    draw_series,
+    reachable_since,
 )
 
 CORE, OTHERS = 4, 2
@@ -37,6 +44,72 @@
     assert len(soak.last_requests) == 4
 
 
+def test_a_series_of_failures_with_evacuations_keeps_every_rule(tmp_path: Path) -> None:
+    """Before incident 65, a node that stood still undid an evacuation in this one."""
+    soak = Soak(tmp_path, seed=6, settings=Settings(others=7, nth=8))
+    assert soak.run([], series_length=30.0) == []
+    assert soak.orders_acknowledged > 5
+
+
+def test_a_series_of_failures_depends_on_its_seed_and_has_one_failure_of_a_node_at_a_time() -> None:
+    for seed in range(20):
+        failures = draw_series(random.Random(seed), CORE, 7, 30.0)
+        assert failures == draw_series(random.Random(seed), CORE, 7, 30.0)
+        for node in range(CORE + 7):
+            own = sorted(
+                (one.begins, one.ends) for one in failures if one.node == node and one.kind != RELOAD
+            )
+            assert all(earlier[1] < later[0] for earlier, later in pairwise(own))
+        of_core = sorted((f.begins, f.ends) for f in failures if f.node < CORE and f.kind != RELOAD)
+        assert all(earlier[1] < later[0] for earlier, later in pairwise(of_core))
+
+
+def test_a_zone_must_be_empty_from_the_rules_time_until_its_evacuation_is_taken_back() -> None:
+    orders = [
+        Order("a", True, 10.0, 10.5),
+        Order("a", False, 30.0, None),  # it may have taken effect
+        Order("b", True, 31.0, 31.5),
+        Order("a", True, 40.0, None),  # nobody knows whether it is in force
+        Order("a", True, 50.0, 51.0),
+    ]
+    periods = evacuation_periods(orders)
+    found = [(period.order.given_at, period.ends) for period in periods]
+    assert found == [(10.0, 30.0), (31.0, math.inf), (50.0, math.inf)]
+    times = (15.4, 15.6, 29.9, 30.1)
+    assert [periods[0].delay("a", at) for at in times] == pytest.approx([0.0, 5.1, 19.4, 0.0])
+    assert periods[0].delay("b", 16.0) == 0.0
+
+
+def test_the_cause_of_a_late_request_is_told_by_what_its_node_held() -> None:
+    timelines = {
+        1: [ZonesInForce(1.0, frozenset(), 3, "x"), ZonesInForce(10.4, frozenset({"a"}), 4, "x")],
+        2: [ZonesInForce(1.0, frozenset(), 3, "x")],
+        3: [ZonesInForce(1.0, frozenset(), 3, "x"), ZonesInForce(12.0, frozenset(), 5, "y")],
+        4: [],
+    }
+    period = EvacuationPeriod(Order("a", True, 10.0, 10.5), math.inf)
+    found = [held_zones(timelines, period, node, 16.0) for node in (1, 2, 3, 4)]
+    expected = ["the evacuation, for over 1 s", "an older state", "open again by a version of y", "no state"]
+    assert found == expected
+
+
+@pytest.mark.parametrize(
+    ("failures", "since"),
+    [
+        ([], 0.0),
+        ([Failure(STOP, 0, 2.0, 3.0)], 0.0),  # a member of the core: the rule's time is stretched instead
+        ([Failure(STOP, 5, 2.0, 3.0)], 3.0 + CONNECT_TIME),
+        ([Failure(STOP, 0, 2.0, 4.0), Failure(CUT, 1, 3.0, 5.0)], math.inf),  # half of the core at once
+        ([Failure(STOP, 0, 2.0, 3.0), Failure(CUT, 1, 3.5, 5.0)], 0.0),
+        ([Failure(HANG, 5, 2.0, 3.0)], 0.0),
+    ],
+)
+def test_a_node_without_failures_is_reachable_while_less_than_half_of_the_core_fails(
+    failures: list[Failure], since: float
+) -> None:
+    assert reachable_since(failures, 5, CORE, 1.0, 8.0) == since
+
+
 def test_random_failures_depend_on_their_seed_overlap_and_are_of_all_kinds() -> None:
     assert [draw(random.Random(seed), CORE, OTHERS) for seed in range(80)] == DRAWN
     assert {failure.kind for failures in DRAWN for failure in failures} == set(KINDS)
