--- a/hazelspring/daemon/node_process.py
+++ b/hazelspring/daemon/node_process.py
@@ -8,7 +8,6 @@
 import time
 from typing import Any
 
-from hazelspring.configuration.incremental import LoadedConfiguration, load_configuration
 from hazelspring.configuration.model import Configuration
 from hazelspring.consensus.proposal import ProposalOutcome
 from hazelspring.daemon.client_listener import ClientListener, RouterHost
@@ -23,13 +22,13 @@
 from hazelspring.daemon.readiness import NEVER, fresh_until, ready_until
 from hazelspring.daemon.settings import Settings
 from hazelspring.daemon.shutdown import close, drain
+from hazelspring.daemon.state_in_use import StateInUse
 from hazelspring.daemon.status import MAX_LOOKUP_LIFETIME, lookup_addresses, node_status
 from hazelspring.daemon.structured_log import log
 from hazelspring.daemon.supervisor import Supervisor
-from hazelspring.daemon.table_log import log_leaving, log_table
 from hazelspring.daemon.unserved_log import UnservedLog
 from hazelspring.daemon.upstream_servers import UpstreamServers
-from hazelspring.gateway.config import Address, parse_address
+from hazelspring.gateway.config import Address
 from hazelspring.gateway.metrics import Counts
 from hazelspring.gateway.periodic import Periodic
 from hazelspring.node.actions import (
@@ -42,7 +41,6 @@
     ReadList,
     Save,
     Send,
-    StateChanged,
     TableChanged,
 )
 from hazelspring.node.invariants import LIST_KNOWN
@@ -88,12 +86,6 @@
         self.incarnation = new_incarnation()
         self.supervisor = Supervisor(self.loop)
         self.disk = DiskWorker(settings.data_directory, self.supervisor) if settings.data_directory else None
-        self.configuration: Configuration | None = None
-        # `configuration` and the data that it was loaded from
-        self.loaded_configuration: LoadedConfiguration | None = None
-        self.operator_calls = OperatorCalls(
-            self.loop.time, lambda: self.node, lambda: self.loaded_configuration, self.execute_all
-        )
         self.draining = False
         self.unserved_log = UnservedLog()
         self.node_ticked_at = NEVER
@@ -101,6 +93,15 @@
         timing = ListTiming.within(settings.invariants.drain_cutoff)
         self.list_reader = ListReader(settings.platform_address, settings.platform_rate, timing.timeout)
         self.make_request_path(settings)
+        self.state_in_use = StateInUse(
+            self.loop.time, lambda: self.node, self.router, self.servers, self.client_listener
+        )
+        self.operator_calls = OperatorCalls(
+            self.loop.time,
+            lambda: self.node,
+            lambda: self.state_in_use.loaded_configuration,
+            self.execute_all,
+        )
         self.transport = MessageTransport(
             settings.ip, settings.internal_port, self.on_message, self.supervisor
         )
@@ -134,6 +135,11 @@
             roles.setdefault(address, set()).add(role)
         return [HttpApi(address, self, frozenset(named)) for address, named in roles.items()]
 
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in use; None before the first one."""
+        return self.state_in_use.configuration
+
     async def start(self) -> None:
         """Read the disk, listen, and start ticking.  Raises OSError if an address cannot be listened on."""
         settings = self.settings
@@ -141,8 +147,8 @@
         self.node = self.make_node(records, settings.first_start)
         if records is None:
             self.supervisor.start("await the disk", self.wait_for_disk())
-        self.apply_current_configuration()
-        self.apply_evacuated_zones()
+        self.state_in_use.apply_current_configuration()
+        self.state_in_use.apply_evacuated_zones()
         await self.transport.start()
         for listener in [*self.apis, self.client_listener]:
             await listener.start()
@@ -185,8 +191,8 @@
         self.operator_calls.fail_all("the disk was taken up")
         self.incarnation += 1
         self.node = self.make_node(records, False)
-        self.apply_current_configuration()
-        self.apply_evacuated_zones()
+        self.state_in_use.apply_current_configuration()
+        self.state_in_use.apply_evacuated_zones()
         log.write("control", "the disk can be read again", **self.node.control.acceptor.version_fields())
 
     def make_node(self, records: dict[str, bytes] | None, first_start: bool) -> Node:
@@ -225,7 +231,7 @@
     def tick_node(self, now: float) -> None:
         """Advance the node, and update the parts that serve requests from its state."""
         self.operator_calls.withdraw_abandoned()
-        self.apply_missed_zones()
+        self.state_in_use.apply_missed_zones()
         self.update_confirmed_at(now)
         self.node.ready = self.is_ready()
         self.execute_all(self.node.tick(now))
@@ -294,7 +300,7 @@
             case Save():
                 self.supervisor.start("save", self.save(action))
             case ConfigurationChanged() | EvacuatedZonesChanged() | MembersChanged() | TableChanged():
-                self.on_state_changed(action)
+                self.state_in_use.on_state_changed(action)
             case ReadList():
                 self.supervisor.start("read the list", self.read_list(action.number))
             case CreditsGranted() | CounterUnavailable():
@@ -315,64 +321,6 @@
             self.operator_calls.withdraw_abandoned()
             self.execute_all(node.on_saved(self.loop.time(), save.serial, saved))
 
-    def on_state_changed(self, change: StateChanged) -> None:
-        """Apply a change of the control state or of a table of servers."""
-        match change:
-            case ConfigurationChanged():
-                self.apply_current_configuration()
-            case EvacuatedZonesChanged():
-                self.apply_evacuated_zones()
-            case MembersChanged():
-                state = self.node.control.state
-                members = state.members if state is not None else ()
-                log.write("control", "core membership", members=",".join(member.ip for member in members))
-            case TableChanged():
-                self.apply_table(change.service)
-
-    def apply_current_configuration(self) -> None:
-        """Apply the configuration in force, if there is one."""
-        if (packed := self.node.control.acceptor.current_configuration()) is None:
-            return
-        self.loaded_configuration = load_configuration(packed, self.loaded_configuration)
-        self.configuration = self.loaded_configuration.configuration
-        self.client_listener.use_configuration(self.configuration)
-        self.router.use_configuration(self.configuration)
-        log.write("control", "uses a configuration", number=self.configuration.version)
-
-    def evacuated_zones(self) -> frozenset[str]:
-        """Return the zones that are evacuated as far as the node knows."""
-        state = self.node.control.state
-        return state.evacuated_zones if state is not None else frozenset()
-
-    def apply_evacuated_zones(self) -> None:
-        """Pass the evacuated zones to the router, which sends no requests there."""
-        zones, acceptor = self.evacuated_zones(), self.node.control.acceptor
-        self.router.set_evacuated_zones(self.loop.time(), zones)
-        decided_by = acceptor.decided[0].address if acceptor.decided is not None else ""
-        names = ",".join(sorted(zones)) or "none"
-        log.write("control", "closed zones", zones=names, decided_by=decided_by, **acceptor.version_fields())
-
-    def apply_missed_zones(self) -> None:
-        """Apply evacuated zones that the router was not told: an error kept the node's actions from it."""
-        if self.router.evacuated_zones != self.evacuated_zones():
-            self.apply_evacuated_zones()
-
-    def apply_table(self, service: str) -> None:
-        """Apply a service's new table of servers to the router and to the connections to servers."""
-        now, table = self.loop.time(), self.node.registry.tables[service]
-        servers = table.servers.values()
-        log_table(service, table)
-        leaving = self.router.endpoints.newly_draining(service, servers)
-        log_leaving(now, leaving, self.node.freshness.age(now))
-        for server in self.router.update_endpoints(now, service, servers):
-            self.servers.remove(server.number)
-        for server in leaving:
-            self.servers.leave(server.number)
-        for server in self.router.endpoints.services[service].values():
-            self.servers.place(server.number, parse_address(server.address), 0.0)
-            if server.accepting:
-                self.servers.accept(server.number)
-
     async def read_list(self, number: int) -> None:
         """Read the platform's list, and report the result to the requesting node unless it was replaced."""
         node = self.node
--- a/tests/cut_node.py
+++ b/tests/cut_node.py
@@ -15,14 +15,13 @@
 import time
 from pathlib import Path
 
-import hazelspring.daemon.__main__
 import hazelspring.daemon.list_reader
 import hazelspring.daemon.node_process
 from hazelspring.consensus.proposal import Proposal
 from hazelspring.daemon.__main__ import main
 from hazelspring.daemon.instance_list_client import InstanceListClient
 from hazelspring.daemon.message_transport import MessageTransport
-from hazelspring.daemon.node_process import NodeProcess
+from hazelspring.daemon.state_in_use import StateInUse
 from hazelspring.node.control_replica import ControlReplica
 
 FILE = Path(os.environ["HAZELSPRING_SETTINGS"]).with_suffix(".cut")
@@ -54,12 +53,12 @@
         return await super().read_pages()
 
 
-class RecordingProcess(NodeProcess):
+class RecordingState(StateInUse):
     """Records the evacuated zones that it uses."""
 
     def apply_evacuated_zones(self) -> None:
         super().apply_evacuated_zones()
-        decided = self.node.control.acceptor.decided
+        decided = self.node().control.acceptor.decided
         version, decided_by = (decided[1].version, decided[0].address) if decided is not None else (-1, "")
         zones = ",".join(sorted(self.router.evacuated_zones)) or "none"
         with ZONES.open("a") as file:
@@ -74,7 +73,7 @@
 
 
 if __name__ == "__main__":
-    hazelspring.daemon.__main__.NodeProcess = RecordingProcess  # type: ignore[attr-defined]
+    hazelspring.daemon.node_process.StateInUse = RecordingState  # type: ignore[attr-defined]
     hazelspring.daemon.node_process.MessageTransport = FaultyTransport  # type: ignore[attr-defined]
     hazelspring.daemon.list_reader.InstanceListClient = FaultyListClient  # type: ignore[attr-defined]
     arguments = sys.argv[1:]
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -244,7 +244,7 @@
         check_membership, errors = node.node.check_membership, list[float]()
 
         def fail_at_decision(now: float) -> None:
-            if node.evacuated_zones() and not errors:
+            if node.state_in_use.evacuated_zones() and not errors:
                 errors.append(now)
                 raise UnexpectedError
             check_membership(now)
