One piece of state says whether a proposal is confirmed, and one method records it

No change of behaviour: a proposal had a mark and a version that were set together, by two pieces of code; the version alone says both. The status shows the evacuated zones by the same function as the router uses.

--- a/hazelspring/consensus/outcomes.py
+++ b/hazelspring/consensus/outcomes.py
@@ -37,14 +37,14 @@
     # node reports it.  Any other effect may have been undone by a state that is not known here yet, even
     # before the proposal was submitted.  The effect was in force after the submission if the state known
     # here was the newest decided one at some time since then, or was decided after a state that was.  The
-    # proposal is then marked as confirmed.
+    # proposal then has a confirmed version.
     conflicts = proposal.conflicts_with(state)
     lasting = (
         proposal.kind == ProposalKind.PUT_CONFIGURATION
         and state.version > proposal.base_version
         and not conflicts
     )
-    if not lasting and not proposal.confirmed:
+    if not lasting and proposal.confirmed_version is None:
         return None  # the state known here may be outdated
     if conflicts:
         if not is_confirmed(proposal):
@@ -64,4 +64,4 @@
     """Return whether a proposal waits for a version above the one that was the newest after its submission."""
     if not proposal.needs_new_version():
         return False
-    return not proposal.confirmed or state.version <= proposal.confirmed_version
+    return proposal.confirmed_version is None or state.version <= proposal.confirmed_version
--- a/hazelspring/consensus/proposal.py
+++ b/hazelspring/consensus/proposal.py
@@ -61,11 +61,9 @@
         The only version to which the proposal may be applied; None if it may be applied to any.  An order
         that a later one can undo is bound while its caller waits (:meth:`needs_binding`), so that it is not
         carried out once a later order is in force.
-    confirmed
-        Whether the state known here was the newest decided one at some time after the proposal was
-        submitted.
     confirmed_version
-        The version of that state, when it was first known to be the newest.
+        The version of the state known here that was the newest decided one at some time after the proposal
+        was submitted, when that was first known; None as long as it is not.
     """
 
     token: int
@@ -81,8 +79,7 @@
     by_operator: bool = False
     base_version: int = -1
     bound_version: int | None = None
-    confirmed: bool = False
-    confirmed_version: int = -1
+    confirmed_version: int | None = None
 
     def needs_binding(self) -> bool:
         """Return whether the proposal may be applied only to a version that was known while its caller waited.
--- a/hazelspring/consensus/proposer.py
+++ b/hazelspring/consensus/proposer.py
@@ -175,10 +175,9 @@
             Returns whether this node knows every state that was decided before a proposal was submitted.
         """
         state, ended = self.acceptor.state, []
+        if state is not None and state.version > 0:
+            self.confirm(state.version, is_confirmed)
         for proposal in list(self.proposals):
-            if state is not None and state.version > 0 and not proposal.confirmed and is_confirmed(proposal):
-                confirmed = replace(proposal, confirmed=True, confirmed_version=state.version)
-                self.proposals[self.proposals.index(proposal)] = proposal = confirmed
             if (
                 state is not None
                 and state.version > 0
@@ -537,12 +536,12 @@
             self.abandon_round()
         self.round, self.failed_rounds = None, 0
         self.confirmed_since = max(self.confirmed_since, current.started_at)
-        self.confirm_proposed(current)
+        # The base was the newest decided state until the round succeeded.
+        self.confirm(current.base.version, lambda proposal: proposal.token in current.proposed_tokens)
         return current.ballot, current.value, current.configurations.get(current.value.configuration_digest)
 
-    def confirm_proposed(self, decided: Round) -> None:
-        """Record for the proposals of a round that its base was the newest decided state until it succeeded."""
+    def confirm(self, version: int, is_confirmed: Callable[[Proposal], bool]) -> None:
+        """Record in the open proposals that `is_confirmed` names that this version was the newest after they came."""
         for index, proposal in enumerate(self.proposals):
-            if proposal.token in decided.proposed_tokens and not proposal.confirmed:
-                base_version = decided.base.version
-                self.proposals[index] = replace(proposal, confirmed=True, confirmed_version=base_version)
+            if proposal.confirmed_version is None and is_confirmed(proposal):
+                self.proposals[index] = replace(proposal, confirmed_version=version)
--- a/hazelspring/daemon/status.py
+++ b/hazelspring/daemon/status.py
@@ -23,13 +23,12 @@
 def node_status(process: NodeProcess, now: float) -> dict[str, Any]:
     """Return the body of the answer to `GET /-/status`; `now` is in seconds of the process's event loop."""
     node = process.node
-    state = node.control.state
     configuration = process.configuration
     return {
         "name": process.settings.name,
         "ready": process.is_ready(),
         "configuration": configuration.version if configuration is not None else None,
-        "closedZones": sorted(state.evacuated_zones) if state is not None else [],
+        "closedZones": sorted(process.state_in_use.evacuated_zones()),
         **node.control.acceptor.version_fields(),
         "core": {ip: node.heartbeats.is_responsive(now, ip) for ip in sorted(node.peers.core_nodes)},
         "member": node.control.is_member(),
--- a/hazelspring/node/invariants.py
+++ b/hazelspring/node/invariants.py
@@ -113,9 +113,8 @@
         if now - self.checked_at < NEAR_INTERVAL:
             return []
         if now - self.checked_at > STANDSTILL_TIME:
-            self.core_unchanged_since = (
-                now  # what this node knows is older than its contact with the core seems
-            )
+            # What this node knows is older than its contact with the core seems.
+            self.core_unchanged_since = now
         self.checked_at = now
         self._check_core(now)
         violated = set()
--- a/tests/control_model.py
+++ b/tests/control_model.py
@@ -175,7 +175,7 @@
         # A round that met another one forwards nothing by itself.
         proposer.backoff_until, proposer.failed_rounds = NEVER, 0
         if not any(
-            proposal.started_at <= proposer.confirmed_since and not proposal.confirmed
+            proposal.started_at <= proposer.confirmed_since and proposal.confirmed_version is None
             for proposal in proposer.proposals
         ):
             proposer.confirmed_since = -1e9  # it has no effect on proposals that come later
--- a/tests/control_node.py
+++ b/tests/control_node.py
@@ -141,7 +141,6 @@
                         proposal.token,
                         proposal.base_version,
                         proposal.bound_version,
-                        proposal.confirmed,
                         proposal.confirmed_version,
                         proposal.started_at,
                     )
