The test of a node that has just stood still fails without its guard

It passed without it: nothing but a first tick waited in the frozen node, which ended the contact anyway. Now replies that it had requested wait there.

--- a/tests/test_list_reader_role.py
+++ b/tests/test_list_reader_role.py
@@ -212,16 +212,17 @@
 
 
 @pytest.mark.parametrize("name", ["d2", "d6"])
-def test_no_invariant_is_violated_by_a_node_that_has_just_stood_still(name: str) -> None:
-    """Messages that it reads first make its contact with the core seem unbroken, but its list is old."""
-    for seconds in (2.5, 3.2, 3.6, 4.2):
-        world = World(4, 3)
-        world.run(10.0)
-        world.freeze(name)
-        world.run(seconds)
-        world.thaw(name)
-        world.run(6.0)
-        assert not world.breaches
+@pytest.mark.parametrize("seconds", [3.1, 3.6, 4.2])
+def test_no_invariant_is_violated_by_a_node_that_has_just_stood_still(name: str, seconds: float) -> None:
+    """Replies that it reads first make its contact with the core seem unbroken, but its list is old."""
+    world = World(4, 3)
+    world.run(10.0)
+    world.read(name)  # requests replies of the core, which wait in its socket
+    world.freeze(name)
+    world.run(seconds)
+    world.thaw(name)
+    world.run(6.0)
+    assert not world.breaches
 
 
 def test_no_invariant_is_violated_while_nodes_stop_and_restart() -> None:
