The soak gives its orders by the client's own call, and plays its failures by one loop

The loops of an episode and of a series are one (`Soak.play`), processes that end by themselves are looked for each second in place of each failure, and the operator has a name of its own beside the simulated one. The way of an order names the nodes it was given to, the last one acknowledged it; what each of the others did is not kept any more.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -37,7 +37,7 @@
 from .callers import Clients, Operators, is_write, node_status, write_links
 from .ledger import NOT_RUN_STATUSES
 from .soak_evacuation_check import EvacuationCheck, LateRequest, cause_table
-from .soak_evacuations import EvacuationOperator
+from .soak_evacuations import Evacuations
 from .soak_faults import (
     CONNECT_TIME,
     CUT,
@@ -71,6 +71,7 @@
 MAX_OFF_TIME = CONNECT_TIME + 3.0
 
 Trigger = Callable[[], object]  # begins or ends a failure
+TimedAction = tuple[float, Trigger]  # seconds of the episode
 
 
 @dataclass(frozen=True)
@@ -138,16 +139,10 @@
         clients, lookups = Clients(self.fleet, self.settings.clients), Lookups(self.fleet)
         operators = Operators(lambda: self.fleet.control_addresses(), 1)
         draining = self.chance.sample(self.fleet.servers, DRAINING_SERVERS)
-        actions: list[tuple[float, Trigger]] = [
+        actions: list[TimedAction] = [
             (self.chance.uniform(0.0, FAILURE_PHASE), server.drain) for server in draining
         ]
-        for failure in failures:
-            begin, end = self.triggers(failure)
-            actions += [(failure.begins, begin), (failure.ends, end)]
-        began = time.monotonic()
-        for at, action in sorted(actions, key=lambda one: one[0]):
-            time.sleep(max(0.0, began + at - time.monotonic()))
-            action()
+        began = self.play([*actions, *self.timed_triggers(failures)])
         failures_ended = time.monotonic()
         self.wait_until_recovered()
         time.sleep(max(0.0, failures_ended + CONNECT_TIME + 1.0 - time.monotonic()))
@@ -162,33 +157,43 @@
             self.server_restarts += 1
             server.restart_as(f"i-restart-{self.server_restarts}")
 
-    def series(self, failures: list[Failure], length: float) -> None:
-        """Play a series of failures while zones are evacuated and taken back, and check both.
-
-        It ends with a calm time in which the last evacuation must be in force at every node.
-        """
-        actions = [
+    def timed_triggers(self, failures: Iterable[Failure]) -> list[TimedAction]:
+        """Return the beginnings and ends of failures, with their times in seconds of the episode."""
+        return [
             (at, trigger)
             for failure in failures
             for at, trigger in zip((failure.begins, failure.ends), self.triggers(failure), strict=True)
         ]
-        clients, lookups = Clients(self.fleet, self.settings.clients, open_reads=True), Lookups(self.fleet)
-        make = partial(configuration, requests_per_second=SERIES_REQUESTS_PER_SECOND)
-        operators = Operators(lambda: self.fleet.control_addresses(), 1, make)
-        evacuations = EvacuationOperator(self.fleet, self.chance.randrange(1 << 30), self.silent_nodes)
+
+    @staticmethod
+    def play(actions: Iterable[TimedAction]) -> float:
+        """Carry out actions at their times, which begin now; return the beginning by the monotonic clock."""
         began = time.monotonic()
         for at, action in sorted(actions, key=lambda one: one[0]):
             time.sleep(max(0.0, began + at - time.monotonic()))
-            self.restart_ended(failures, time.monotonic() - began)
             action()
-        time.sleep(max(0.0, began + length + SETTLING_TIME - time.monotonic()))
-        self.restart_ended(failures, time.monotonic() - began)
+        return began
+
+    def series(self, failures: list[Failure], length: float) -> None:
+        """Play a series of failures while zones are evacuated and taken back, and check both.
+
+        It ends with a calm time in which the last evacuation must be in force at every node.
+        """
+        checked_at = [*map(float, range(math.ceil(length))), length + SETTLING_TIME]
+        actions = self.timed_triggers(failures)
+        actions += [(at, partial(self.restart_ended, failures, at)) for at in checked_at]
+        clients, lookups = Clients(self.fleet, self.settings.clients, open_reads=True), Lookups(self.fleet)
+        make = partial(configuration, requests_per_second=SERIES_REQUESTS_PER_SECOND)
+        operators = Operators(lambda: self.fleet.control_addresses(), 1, make)
+        evacuations = Evacuations(self.fleet, self.chance.randrange(1 << 30), self.silent_nodes)
+        began = self.play(actions)
         for caller in (evacuations, operators, clients, lookups):
             caller.stop()
         self.orders_acknowledged += evacuations.acknowledged()
         check = EvacuationCheck(self.fleet, self.settings.core, failures, began)
-        self.late_in_zones += check.late_requests(evacuations.orders, clients.nodes)
-        self.violations += [f"EVAC: {late}" for late in self.late_in_zones if late.is_violation]
+        late_requests = check.late_requests(evacuations.orders, clients.nodes)
+        self.late_in_zones += late_requests
+        self.violations += [f"EVAC: {late}" for late in late_requests if late.is_violation]
         self.wait_until_recovered()
         for zone in sorted(set(self.fleet.zones)):
             call_until_settled(
--- a/tests/soak_evacuation_check.py
+++ b/tests/soak_evacuation_check.py
@@ -171,7 +171,7 @@
                 server.zone,
                 delay,
                 held_zones(timelines, period, node, request.at),
-                " ".join(period.order.way),
+                period.order.way,
                 self.judgement(period, node, request.at),
             )
             for period in evacuation_periods(orders)
--- a/tests/soak_evacuations.py
+++ b/tests/soak_evacuations.py
@@ -5,40 +5,36 @@
 
 from __future__ import annotations
 
-import http.client
 import random
 import threading
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-from hazelspring.cli.control_client import call_once
+from hazelspring.cli.control_client import CallError, call_until_settled
 from hazelspring.localfleet.fleet import LocalFleet
 
 EVACUATION_TIME = 5.0  # seconds, `evacuationMs` of the settings
-PATIENCE = 1.0  # seconds without an answer until the operator gives the order to another node
 GIVE_UP_TIME = 6.0  # seconds, `acknowledgeMs`
-FIRST_PAUSE = 0.1  # seconds between the first two nodes; it doubles with each further one
 SILENT_FIRST = 0.6  # fraction of orders that are given first to a node that does not answer, if there is one
 LONG_EVACUATION = 0.5  # fraction of evacuations that last longer than the rule's time
-HTTP_OK = 200
 
 
 @dataclass
 class Order:
     """An order of the operator; times are in seconds of the monotonic clock.
 
-    `way` names the nodes that it was given to, in order, and what each did.
+    `way` names the nodes that it was given to, in order; the last one acknowledged it.
     """
 
     zone: str
     evacuate: bool
     given_at: float
     acknowledged_at: float | None = None
-    way: list[str] = field(default_factory=list)
+    way: str = ""
 
 
-class EvacuationOperator:
+class Evacuations:
     """A thread that gives orders until `stop`; a zone may still be evacuated then."""
 
     def __init__(self, fleet: LocalFleet, seed: int, silent_nodes: Callable[[], Sequence[int]]) -> None:
@@ -74,20 +70,17 @@
 
     def give(self, zone: str, evacuate: bool) -> None:
         """Give an order until a node acknowledges it or `GIVE_UP_TIME` has passed."""
-        order = Order(zone, evacuate, time.monotonic())
+        order, nodes = Order(zone, evacuate, time.monotonic()), self.node_order()
         self.orders.append(order)
-        pause = FIRST_PAUSE
-        nodes = self.node_order()
-        attempt = 0
-        while time.monotonic() - order.given_at < GIVE_UP_TIME:
-            node = nodes[attempt % len(nodes)]
-            status = self.call(node, order)
-            order.way.append(f"{node}:{status or 'silent'}")
-            if status == HTTP_OK:
-                order.acknowledged_at = time.monotonic()
-                return
-            time.sleep(pause)
-            pause, attempt = 2 * pause, attempt + 1
+        addresses = [self.fleet.control_addresses()[node] for node in nodes]
+        method = "POST" if evacuate else "DELETE"
+        try:
+            answer = call_until_settled(addresses, method, f"/-/evacuation/{zone}", patience=GIVE_UP_TIME)
+        except CallError as error:
+            order.way = str(error)
+            return
+        order.acknowledged_at = time.monotonic()
+        order.way = " -> ".join(map(str, nodes[: addresses.index(answer.address) + 1]))
 
     def node_order(self) -> list[int]:
         """Return all nodes in a random order; often one that does not answer comes first."""
@@ -99,12 +92,3 @@
             nodes.remove(first)
             nodes.insert(0, first)
         return nodes
-
-    def call(self, node: int, order: Order) -> int:
-        """Give an order to a node; return the status of its answer, 0 without one."""
-        method = "POST" if order.evacuate else "DELETE"
-        address = self.fleet.control_addresses()[node]
-        try:
-            return call_once(address, method, f"/-/evacuation/{order.zone}", None, PATIENCE).status
-        except (OSError, http.client.HTTPException):
-            return 0
